--- a/adapter/session.cpp
+++ b/adapter/session.cpp
@@ -45,24 +45,12 @@
   return std::isfinite(value) ? static_cast<int>(std::clamp(value, -1.0f, 1e6f)) : -1;
 }
 
-std::optional<double>* field_of(LoadReport& report, std::string_view name) {
-  if (name == "free") return &report.free_circuits;
-  if (name == "size") return &report.circuits;
-  if (name == "rif") return &report.in_work;
-  if (name == "q") return &report.waiting;
-  if (name == "busy") return &report.utilisation;
-  if (name == "lat_ms") return &report.wait_ms;
-  if (name == "can_take") return &report.setups_per_second;
-  if (name == "hold_back") return &report.hold_back;
-  return nullptr;
-}
-
 LoadReport load_report(Reader& in, const std::vector<std::string>& fields) {
   LoadReport report;
   const auto count = in.get<std::uint8_t>();
   for (std::size_t i = 0; i < count; ++i) {
     const float value = in.get<float>();
-    auto* const field = i < fields.size() ? field_of(report, fields[i]) : nullptr;
+    auto* const field = i < fields.size() ? report_field(report, fields[i]) : nullptr;
     if (field && value != -1.0f) *field = value;  // -1: not given
   }
   return report;
@@ -217,7 +205,13 @@
 void Session::provision(Reader& in) {
   const auto number = in.get<std::uint16_t>();
   const auto seed = in.get<std::uint64_t>();
-  StartUp start = parse_settings(in.take(in.get<std::uint32_t>()));
+  const auto facts = in.take(in.get<std::uint32_t>());
+  StartUp start;
+  try {
+    start = parse_settings(facts);
+  } catch (const SettingsError& error) {
+    throw WireError(error.what());
+  }
   fronts_.erase(number);
   fronts_.emplace(number, Front{Controller(std::move(start.settings), seed, now_),
                                 std::move(start.report_fields), start.waits_hinted});
--- /dev/null
+++ b/src/config.cpp
@@ -0,0 +1,135 @@
+#include "config.hpp"
+
+#include <arpa/inet.h>
+
+#include <algorithm>
+#include <charconv>
+#include <cmath>
+#include <fstream>
+#include <sstream>
+
+#include "net/stream.hpp"
+
+namespace yewslip {
+namespace {
+
+using simdjson::dom::array;
+using simdjson::dom::element;
+using simdjson::dom::object;
+
+template <typename T>
+T wanted(object from, std::string_view name) {
+  element found;
+  T read{};
+  if (from.at_key(name).get(found) != simdjson::SUCCESS || found.get(read) != simdjson::SUCCESS) {
+    throw ConfigError("\"" + std::string(name) + "\" is missing or has the wrong type");
+  }
+  return read;
+}
+
+template <typename T>
+T value(object from, std::string_view name, T fallback) {
+  element found;
+  if (from.at_key(name).get(found) != simdjson::SUCCESS || found.is_null()) return fallback;
+  return wanted<T>(from, name);
+}
+
+sockaddr_in address(std::string_view text, std::string_view name) {
+  const auto parsed = parse_address(text);
+  if (!parsed) throw ConfigError("\"" + std::string(name) + "\" is no address: " + std::string(text));
+  return *parsed;
+}
+
+std::uint64_t seed_of(object root) {
+  const auto text = value(root, "seed", std::string_view("0"));
+  std::uint64_t seed = 0;
+  const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), seed, 16);
+  if (error != std::errc{} || end != text.data() + text.size())
+    throw ConfigError("\"seed\" is no hex number");
+  return seed;
+}
+
+Availability availability_of(std::string_view state) {
+  if (state == "in_service") return Availability::ready;
+  if (state == "terminating") return Availability::draining;
+  if (state == "terminated") return Availability::gone;
+  throw ConfigError("unknown state of a setup server: " + std::string(state));
+}
+
+Host parse_host(object from) {
+  Host host;
+  host.name = std::string(wanted<std::string_view>(from, "host"));
+  const auto dial = address(wanted<std::string_view>(from, "dial"), "dial");
+  const auto* const bytes = reinterpret_cast<const std::uint8_t*>(&dial.sin_addr);
+  std::copy_n(bytes, 4, host.entry.id.address.begin());
+  host.entry.id.port = ntohs(dial.sin_port);
+  host.entry.number = static_cast<int>(std::clamp(value(from, "block", -1.0), -1.0, 1e6));
+  host.entry.availability = availability_of(wanted<std::string_view>(from, "health"));
+  const double born = value(from, "born_ms", 0.0);
+  // Not by from_ms, which cuts at ten years: this counts from 1970.
+  if (born > 0 && born < 1e14) host.entry.started = Time{std::llround(born * 1e3)};
+  return host;
+}
+
+// Throws simdjson's errors too.
+FleetNews news_of(object from) {
+  FleetNews news;
+  news.index = wanted<std::uint64_t>(from, "index");
+  const object endpoints = wanted<object>(from, "endpoints");
+  news.whole = value(endpoints, "whole", false);
+  for (const element entry : wanted<array>(endpoints, "hosts"))
+    news.hosts.push_back(parse_host(entry.get_object()));
+  return news;
+}
+
+}  // namespace
+
+FleetNews parse_news(std::string_view json) {
+  simdjson::dom::parser parser;
+  try {
+    return news_of(parser.parse(json).get_object());
+  } catch (const simdjson::simdjson_error& error) {
+    throw ConfigError(std::string("news of the setup servers cannot be read: ") + error.what());
+  }
+}
+
+Config parse_config(std::string_view json) {
+  simdjson::dom::parser parser;
+  try {
+    const object root = parser.parse(json).get_object();
+    Config config;
+    config.name = std::string(value(root, "name", std::string_view("quartzarch")));
+    config.listen = address(wanted<std::string_view>(root, "listen"), "listen");
+    config.coordinator = address(wanted<std::string_view>(root, "coordinator"), "coordinator");
+    config.seed = seed_of(root);
+    element limits;
+    if (root.at_key("limits").get(limits) == simdjson::SUCCESS) {
+      config.sockets =
+          static_cast<unsigned>(std::clamp(value(limits.get_object(), "sockets", 1024.0), 32.0, 1e6));
+    }
+    element known;
+    if (root.at_key("known").get(known) == simdjson::SUCCESS && !known.is_null()) {
+      config.known_index = value(known.get_object(), "index", std::uint64_t{0});
+      for (const element update : wanted<array>(known.get_object(), "updates")) {
+        config.known.push_back(news_of(update.get_object()));
+      }
+    }
+    config.start = parse_settings(wanted<object>(root, "settings"));
+    if (config.start.settings.classes.empty()) throw ConfigError("the settings name no class of call");
+    return config;
+  } catch (const simdjson::simdjson_error& error) {
+    throw ConfigError(std::string("no JSON of the expected form: ") + error.what());
+  } catch (const SettingsError& error) {
+    throw ConfigError(error.what());
+  }
+}
+
+Config read_config(const std::string& path) {
+  std::ifstream file(path);
+  if (!file) throw ConfigError("cannot be opened");
+  std::ostringstream text;
+  text << file.rdbuf();
+  return parse_config(text.str());
+}
+
+}  // namespace yewslip
--- /dev/null
+++ b/src/config.hpp
@@ -0,0 +1,37 @@
+// What a call controller is told at its start, decoded once.
+#pragma once
+
+#include <netinet/in.h>
+
+#include <stdexcept>
+#include <string>
+#include <vector>
+
+#include "core/fleet.hpp"
+#include "settings.hpp"
+
+namespace yewslip {
+
+struct ConfigError : std::runtime_error {
+  using std::runtime_error::runtime_error;
+};
+
+struct Config {
+  std::string name;
+  sockaddr_in listen{};
+  sockaddr_in coordinator{};
+  std::uint64_t seed = 0;
+  unsigned sockets = 1024;
+  std::uint64_t known_index = 0;
+  std::vector<FleetNews> known;
+  StartUp start;
+};
+
+// Throws ConfigError with one plain line.
+Config parse_config(std::string_view json);
+Config read_config(const std::string& path);
+
+// One event of the coordinator. Throws ConfigError if it is malformed.
+FleetNews parse_news(std::string_view json);
+
+}  // namespace yewslip
--- /dev/null
+++ b/src/core/calls.hpp
@@ -0,0 +1,63 @@
+// What fronts and the core tell each other, in plain values: no wire, no socket.
+#pragma once
+
+#include <optional>
+#include <string>
+
+#include "yewslip/controller.hpp"
+
+namespace yewslip {
+
+// Causes of a release (Q.850's numbers), as both wires use them.
+namespace cause {
+inline constexpr int kNormal = 16;
+inline constexpr int kBusy = 17;
+inline constexpr int kNoAnswer = 18;
+inline constexpr int kNoCircuit = 34;
+inline constexpr int kTemporary = 41;
+inline constexpr int kCongestion = 42;
+inline constexpr int kUnavailable = 47;
+inline constexpr int kTimer = 102;
+}  // namespace cause
+
+struct Request {
+  CallId call = 0;
+  std::string call_class{};            // its name in the settings
+  std::string number{};                // the number called, as the caller wrote it
+  std::string description{};           // passed on unchanged
+  std::optional<Duration> patience{};  // from when the caller sent it; absent: the class's deadline
+  Time came{};
+  int first_choice = -1;
+  int advised = -1;
+  bool redialled = false;
+  bool cut = false;  // it stood, was cut and comes again
+};
+
+enum class Failure { error, timed_out };
+
+// What a front hears of its calls. Of answer, refuse and fail exactly one comes for each request, unless it
+// was withdrawn; over comes once for a call that was answered and was not released by the front.
+class Front {
+ public:
+  virtual ~Front() = default;
+  virtual void answer(CallId call, std::string description) = 0;
+  virtual void refuse(CallId call, std::optional<Duration> stay_away) = 0;
+  virtual void fail(CallId call, Failure why) = 0;
+  virtual void over(CallId call, int cause) = 0;
+};
+
+// What fronts ask for.
+class Core {
+ public:
+  virtual ~Core() = default;
+  // The front must outlive the call.
+  virtual void request(Request request, Front& front) = 0;
+  // The caller has stopped waiting; nothing is owed any more.
+  virtual void withdraw(CallId call) = 0;
+  // The caller ends a call that stands.
+  virtual void release(CallId call, int cause) = 0;
+  // The list of servers is known.
+  virtual bool ready() const = 0;
+};
+
+}  // namespace yewslip
--- /dev/null
+++ b/src/core/exchange.hpp
@@ -0,0 +1,65 @@
+// One call between its front and its server: the only place where the two sides meet. Whatever happens on
+// either, the front gets one final answer, and `over` only after it was told that the call stands.
+#pragma once
+
+#include <optional>
+#include <string>
+#include <utility>
+
+#include "core/calls.hpp"
+
+namespace yewslip {
+
+class Exchange {
+ public:
+  struct Attempt {
+    unsigned number = 0;
+    ServerId server{};
+    Time sent{};
+    bool left = false;  // handed to the server side
+  };
+
+  Exchange(Request request, Front& front) : request_(std::move(request)), front_(&front) {}
+
+  const Request& request() const { return request_; }
+  bool owed() const { return state_ == State::open; }
+  bool stands() const { return state_ == State::standing; }
+  Time deadline() const { return request_.came + request_.patience.value_or(Duration{0}); }
+
+  bool answer(std::string description) {
+    if (!leave_open(State::standing)) return false;
+    front_->answer(request_.call, std::move(description));
+    return true;
+  }
+  void refuse(std::optional<Duration> stay_away) {
+    if (leave_open(State::closed)) front_->refuse(request_.call, stay_away);
+  }
+  void fail(Failure why) {
+    if (leave_open(State::closed)) front_->fail(request_.call, why);
+  }
+  void over(int cause) {
+    if (std::exchange(state_, State::closed) == State::standing) front_->over(request_.call, cause);
+  }
+  // The caller has left or ended the call: it hears nothing more.
+  void close() { state_ = State::closed; }
+
+  std::optional<Attempt> attempt{};  // the one that is out or stands
+  unsigned attempts = 0;             // made so far
+  bool timed_out = false;            // the last one did
+
+ private:
+  enum class State { open, standing, closed };
+
+  bool leave_open(State to) {
+    if (state_ != State::open) return false;
+    state_ = to;
+    request_.description = {};  // nothing is sent again
+    return true;
+  }
+
+  Request request_;
+  Front* front_;
+  State state_ = State::open;
+};
+
+}  // namespace yewslip
--- /dev/null
+++ b/src/core/fleet.cpp
@@ -0,0 +1,57 @@
+#include "core/fleet.hpp"
+
+#include <set>
+#include <utility>
+
+namespace yewslip {
+
+const Host* Fleet::at(const ServerId& address) const {
+  const Host* found = nullptr;
+  const auto rank = [](const Host& host) {
+    return std::pair(host.entry.availability != Availability::gone, host.entry.started.value_or(Time{0}));
+  };
+  for (const auto& [name, host] : hosts_) {
+    if (host.entry.id == address && (!found || rank(host) > rank(*found))) found = &host;
+  }
+  return found;
+}
+
+Fleet::Change Fleet::apply(const FleetNews& news) {
+  std::map<ServerId, Host> before;
+  std::set<ServerId> touched;
+  const auto touch = [&](const ServerId& address) {
+    if (!touched.insert(address).second) return;
+    if (const Host* const host = at(address)) before[address] = *host;
+  };
+  for (const Host& host : news.hosts) {
+    touch(host.entry.id);
+    // A host may come back at another address.
+    if (const auto known = hosts_.find(host.name); known != hosts_.end()) touch(known->second.entry.id);
+  }
+  if (news.whole) {
+    for (const auto& [name, host] : hosts_) touch(host.entry.id);
+    hosts_.clear();
+  }
+  for (const Host& host : news.hosts) hosts_[host.name] = host;
+
+  Change change;
+  for (const ServerId& address : touched) {
+    const auto old = before.find(address);
+    const Host* const host = at(address);
+    const bool gone = !host || host->entry.availability == Availability::gone;
+    if (old != before.end() && old->second.entry.availability != Availability::gone) {
+      const bool other =
+          gone || host->name != old->second.name || host->entry.started != old->second.entry.started;
+      if (other) change.replaced.push_back(address);
+    }
+    ServerEntry entry = host ? host->entry : old->second.entry;
+    if (gone) entry.availability = Availability::gone;
+    change.list.entries.push_back(entry);
+  }
+  // What is told as gone needs no keeping.
+  std::erase_if(hosts_,
+                [](const auto& item) { return item.second.entry.availability == Availability::gone; });
+  return change;
+}
+
+}  // namespace yewslip
--- /dev/null
+++ b/src/core/planner.cpp
@@ -0,0 +1,322 @@
+#include "core/planner.hpp"
+
+#include <algorithm>
+#include <charconv>
+#include <utility>
+
+namespace yewslip {
+namespace {
+
+// More calls at once than the memory is meant for are turned away unseen.
+constexpr std::size_t kMostCalls = 30000;
+constexpr std::size_t kMostPast = 50000;
+constexpr Duration kStayAwayWhenFull = std::chrono::seconds(1);
+
+// The number called as the controller's key: 16 hex digits as they are, anything else by its FNV-1a hash.
+std::uint64_t key_of(std::string_view number) {
+  if (number.empty()) return 0;
+  std::uint64_t key = 0;
+  const auto [end, error] = std::from_chars(number.data(), number.data() + number.size(), key, 16);
+  if (error == std::errc{} && end == number.data() + number.size() && number.size() <= 16) return key;
+  key = 14695981039346656037u;
+  for (const char c : number) key = (key ^ static_cast<unsigned char>(c)) * 1099511628211u;
+  return key;
+}
+
+Cause cause_of(std::string_view note) {
+  if (note == "blocked") return Cause::no_circuit;
+  if (note == "bounced" || note == "far_swamped") return Cause::turned_back;
+  if (note == "swamped") return Cause::processor_full;
+  if (note == "occupied") return Cause::number_busy;
+  return Cause::none;
+}
+
+Ending refusal_of(int why) {
+  switch (why) {
+    case cause::kNoCircuit:
+      return Ending::full;
+    case cause::kTimer:
+      return Ending::not_sent;
+    case cause::kTemporary:
+      return Ending::reset;
+    default:
+      return Ending::fault;
+  }
+}
+
+}  // namespace
+
+Planner::Planner(Loop& loop, Logger& log, StartUp start, std::uint64_t seed)
+    : loop_(loop),
+      log_(log),
+      start_(std::move(start)),
+      controller_(start_.settings, seed, loop.now()),
+      servers_(loop, log, *this, start_.connect_timeout) {
+  loop_.at_each_end([this] { return send_due(); });
+}
+
+// ---- The list
+
+void Planner::news(const FleetNews& news) {
+  listed_ = true;
+  const Fleet::Change change = fleet_.apply(news);
+  // What ran at an address that has another process now, or none, is cut.
+  for (const ServerId& server : change.replaced) {
+    died(server);
+    servers_.drop(server);
+  }
+  for (const ServerEntry& entry : change.list.entries) {
+    log_.line("list: server %s number %d %s", server_text(entry.id).c_str(), entry.number,
+              entry.availability == Availability::ready      ? "in service"
+              : entry.availability == Availability::draining ? "draining"
+                                                             : "gone");
+  }
+  deliver(change.list);
+  for (const ServerEntry& entry : change.list.entries) {
+    if (entry.availability == Availability::gone) {
+      servers_.drop(entry.id);
+    } else {
+      servers_.keep(entry.id);
+    }
+  }
+}
+
+// ---- Fronts
+
+void Planner::request(Request request, Front& front) {
+  const CallId call = request.call;
+  if (calls_.count(call) > 0) {
+    log_.line("call %s: a second set-up with its id, ignored", call_text(call).c_str());
+    return;
+  }
+  const auto& names = start_.class_names;
+  const auto name = std::find(names.begin(), names.end(), request.call_class);
+  if (name == names.end()) {
+    log_.line("call %s: unknown class \"%s\"", call_text(call).c_str(), request.call_class.c_str());
+    return front.fail(call, Failure::error);
+  }
+  if (calls_.size() >= kMostCalls) return front.refuse(call, kStayAwayWhenFull);
+  CallArrived event;
+  event.call = call;
+  event.call_class = static_cast<unsigned>(name - names.begin());
+  event.key = key_of(request.number);
+  if (!request.patience) request.patience = start_.settings.classes[event.call_class].deadline;
+  event.patience = *request.patience - std::max(loop_.now() - request.came, Duration{0});
+  event.first_choice = request.first_choice;
+  event.advised = request.advised;
+  event.redialled = request.redialled;
+  event.cut = request.cut;
+  calls_.emplace(call, Exchange(std::move(request), front));
+  ++owed_;
+  deliver(event);
+}
+
+void Planner::withdraw(CallId call) {
+  Exchange* const exchange = find(call);
+  if (!exchange || !exchange->owed()) return;
+  exchange->close();
+  --owed_;
+  deliver(CallWithdrawn{call});
+  // An attempt that the controller did not call off is out until it ends.
+  if (Exchange* const left = find(call); left && !left->attempt) erase(call);
+}
+
+void Planner::release(CallId call, int cause) {
+  Exchange* const exchange = find(call);
+  if (!exchange) {
+    // It may have been set up before this process started.
+    if (past_.count(call) == 0) servers_.end_everywhere(call, cause);
+    return remember(call);
+  }
+  if (!exchange->stands()) return withdraw(call);
+  exchange->close();
+  servers_.end(exchange->attempt->server, call, cause);
+  end_standing(call, Ending::cancelled, cause, {});
+}
+
+// ---- The server side
+
+void Planner::stood(const ServerId& server, ServerLine line) {
+  Exchange* const exchange = find(line.call);
+  const bool current = exchange && exchange->attempt && exchange->attempt->left &&
+                       exchange->attempt->server == server && !exchange->stands();
+  // A late answer to a set-up that was given up: nobody will ever use the call.
+  if (!current || !exchange->owed()) {
+    if (exchange && exchange->stands() && exchange->attempt->server == server) return;  // told twice
+    servers_.end(server, line.call, cause::kNormal);
+    if (current) attempt_ended(*exchange, Ending::cancelled);
+    return;
+  }
+  const Exchange::Attempt attempt = *exchange->attempt;
+  --owed_;
+  const CallId call = line.call;
+  exchange->answer(std::move(line.description));
+  deliver(SetupStood{call, attempt.number, server, loop_.now() - attempt.sent});
+  if (!line.load.empty()) told(server, parse_load(line.load));
+}
+
+void Planner::released(const ServerId& server, const ServerLine& line) {
+  const LoadReport report = parse_load(line.load);
+  Exchange* const exchange = find(line.call);
+  if (!exchange) {
+    // It stood before this process started: its caller must still hear that it is over.
+    const bool stray =
+        past_.count(line.call) == 0 && (line.why == cause::kNormal || line.why == cause::kTemporary);
+    remember(line.call);
+    if (stray && strays_) strays_->over(line.call, line.why);
+    return;
+  }
+  if (!exchange->attempt || exchange->attempt->server != server) return;
+  if (exchange->stands()) {
+    const Ending ending = line.why == cause::kNormal ? Ending::completed : Ending::reset;
+    return end_standing(line.call, ending, line.why, report);
+  }
+  if (!exchange->attempt->left) return;  // of an earlier attempt at the same server
+  attempt_ended(*exchange, refusal_of(line.why), cause_of(line.note), report);
+}
+
+void Planner::broke(const ServerId& server, CallId call, bool arrived) {
+  Exchange* const exchange = find(call);
+  if (!exchange || !exchange->attempt || exchange->attempt->server != server || exchange->stands()) return;
+  attempt_ended(*exchange, arrived ? Ending::reset : Ending::not_connected);
+}
+
+void Planner::told(const ServerId& server, const LoadReport& report) {
+  deliver(ServerProbed{server, true, report});
+}
+
+void Planner::died(const ServerId& server) {
+  std::vector<CallId> cut;
+  for (const auto& [call, exchange] : calls_) {
+    if (exchange.stands() && exchange.attempt->server == server) cut.push_back(call);
+  }
+  if (cut.empty()) return;
+  std::sort(cut.begin(), cut.end());
+  log_.line("server %s: its process is gone, %zu calls cut", server_text(server).c_str(), cut.size());
+  for (const CallId call : cut) end_standing(call, Ending::reset, cause::kTemporary, {});
+}
+
+// ---- Calls
+
+Exchange* Planner::find(CallId call) {
+  const auto found = calls_.find(call);
+  return found == calls_.end() ? nullptr : &found->second;
+}
+
+void Planner::erase(CallId call) {
+  if (calls_.erase(call) > 0) remember(call);
+}
+
+void Planner::remember(CallId call) {
+  if (!past_.insert(call).second) return;
+  past_order_.push_back(call);
+  if (past_order_.size() <= kMostPast) return;
+  past_.erase(past_order_.front());
+  past_order_.pop_front();
+}
+
+void Planner::attempt_ended(Exchange& exchange, Ending ending, Cause cause, const LoadReport& report) {
+  const CallId call = exchange.request().call;
+  const Exchange::Attempt attempt = *std::exchange(exchange.attempt, std::nullopt);
+  const bool settled = !exchange.owed();
+  exchange.timed_out = ending == Ending::timed_out;
+  if (settled) erase(call);
+  deliver(AttemptEnded{call, attempt.number, attempt.server, loop_.now() - attempt.sent, ending, cause,
+                       settled, std::nullopt, report});
+}
+
+void Planner::end_standing(CallId call, Ending ending, int cause, const LoadReport& report) {
+  Exchange* const exchange = find(call);
+  const Exchange::Attempt attempt = *exchange->attempt;
+  exchange->over(cause);
+  erase(call);
+  deliver(AttemptEnded{call, attempt.number, attempt.server, loop_.now() - attempt.sent, ending, Cause::none,
+                       true, std::nullopt, report});
+}
+
+// ---- The controller
+
+// Events that come up while an action is carried out wait for their turn.
+void Planner::deliver(Event event) {
+  events_.push_back(std::move(event));
+  if (!pumping_) pump();
+}
+
+void Planner::pump() {
+  pumping_ = true;
+  while (!events_.empty()) {
+    const Event event = std::move(events_.front());
+    events_.pop_front();
+    for (const Action& action : controller_.handle(loop_.now(), event)) {
+      std::visit([this](const auto& a) { carry_out(a); }, action);
+    }
+  }
+  pumping_ = false;
+}
+
+// A set-up leaves at the end of the pass only: what is read in the same pass may still stop it.
+void Planner::carry_out(const SendSetup& action) {
+  Exchange* const exchange = find(action.call);
+  if (!exchange || !exchange->owed() || exchange->attempt) return;
+  exchange->attempt = Exchange::Attempt{exchange->attempts++, action.server, loop_.now(), false};
+  const Time until = action.give_up_after && *action.give_up_after != Duration{0}
+                         ? std::min(loop_.now() + *action.give_up_after, exchange->deadline())
+                         : exchange->deadline();
+  watch_deadline(*exchange, until);
+  due_.emplace_back(action.call, exchange->attempt->number);
+}
+
+void Planner::watch_deadline(const Exchange& exchange, Time at) {
+  loop_.at(at, [this, call = exchange.request().call, number = exchange.attempt->number] {
+    Exchange* const late = find(call);
+    if (!late || !late->attempt || late->attempt->number != number || late->stands()) return;
+    if (late->attempt->left) servers_.end(late->attempt->server, call, cause::kNormal);
+    attempt_ended(*late, Ending::timed_out);
+  });
+}
+
+bool Planner::send_due() {
+  const auto due = std::exchange(due_, {});
+  for (const auto& [call, number] : due) {
+    Exchange* const exchange = find(call);
+    if (!exchange || !exchange->attempt || exchange->attempt->number != number || exchange->attempt->left)
+      continue;
+    exchange->attempt->left = true;
+    const Request& request = exchange->request();
+    servers_.offer(exchange->attempt->server,
+                   {call, request.call_class, request.number, request.description, exchange->deadline()});
+  }
+  return !due.empty();
+}
+
+void Planner::carry_out(const CancelAttempt& action) {
+  Exchange* const exchange = find(action.call);
+  if (!exchange || !exchange->attempt || exchange->attempt->number != action.attempt || exchange->stands())
+    return;
+  if (exchange->attempt->left) servers_.end(exchange->attempt->server, action.call, cause::kNormal);
+  attempt_ended(*exchange, Ending::cancelled);
+}
+
+void Planner::carry_out(const Refuse& action) {
+  Exchange* const exchange = find(action.call);
+  if (!exchange || !exchange->owed()) return;
+  --owed_;
+  exchange->refuse(action.stay_away);
+  if (!exchange->attempt) erase(action.call);
+}
+
+void Planner::carry_out(const Fail& action) {
+  Exchange* const exchange = find(action.call);
+  if (!exchange || !exchange->owed()) return;
+  --owed_;
+  exchange->fail(exchange->timed_out ? Failure::timed_out : Failure::error);
+  if (!exchange->attempt) erase(action.call);
+}
+
+void Planner::carry_out(const SetTimer& action) {
+  loop_.at(loop_.now() + action.after, [this, token = action.token] { deliver(TimerFired{token}); });
+}
+
+void Planner::carry_out(const Log& action) { log_.line("%s", action.text.c_str()); }
+
+}  // namespace yewslip
--- /dev/null
+++ b/src/core/planner.hpp
@@ -0,0 +1,84 @@
+// The planner: owns the controller, the exchanges and the attempts, and carries out what the controller
+// decides. It makes no decision of its own.
+#pragma once
+
+#include <deque>
+#include <unordered_map>
+#include <unordered_set>
+#include <vector>
+
+#include "core/calls.hpp"
+#include "core/exchange.hpp"
+#include "core/fleet.hpp"
+#include "log.hpp"
+#include "net/servers.hpp"
+#include "settings.hpp"
+
+namespace yewslip {
+
+class Planner : public Core, private Servers::Owner {
+ public:
+  Planner(Loop& loop, Logger& log, StartUp start, std::uint64_t seed);
+
+  void news(const FleetNews& news);
+  // Hears of calls that were answered before this process started and are over now.
+  void strays_to(Front& front) { strays_ = &front; }
+
+  void request(Request request, Front& front) override;
+  void withdraw(CallId call) override;
+  void release(CallId call, int cause) override;
+  bool ready() const override { return listed_; }
+
+  // Requests that still have their answer to come.
+  std::size_t owed() const { return owed_; }
+
+ private:
+  using Calls = std::unordered_map<CallId, Exchange>;
+
+  void stood(const ServerId& server, ServerLine line) override;
+  void released(const ServerId& server, const ServerLine& line) override;
+  void broke(const ServerId& server, CallId call, bool arrived) override;
+  void told(const ServerId& server, const LoadReport& report) override;
+  void died(const ServerId& server) override;
+
+  void deliver(Event event);
+  void pump();
+  bool send_due();
+  void attempt_ended(Exchange& exchange, Ending ending, Cause cause = Cause::none,
+                     const LoadReport& report = {});
+  void watch_deadline(const Exchange& exchange, Time at);
+  void end_standing(CallId call, Ending ending, int cause, const LoadReport& report);
+  void erase(CallId call);
+  void remember(CallId call);
+
+  void carry_out(const SendSetup& action);
+  void carry_out(const CancelAttempt& action);
+  void carry_out(const Refuse& action);
+  void carry_out(const Fail& action);
+  void carry_out(const SetTimer& action);
+  void carry_out(const Log& action);
+  // The settings rule these out here, and the controller keeps to that.
+  void carry_out(const Probe&) {}
+  void carry_out(const TellPeer&) {}
+  void carry_out(const Subscribe&) {}
+
+  Exchange* find(CallId call);
+
+  Loop& loop_;
+  Logger& log_;
+  StartUp start_;
+  Controller controller_;
+  Servers servers_;
+  Fleet fleet_;
+  bool listed_ = false;
+  Calls calls_;
+  std::size_t owed_ = 0;
+  std::deque<Event> events_;
+  bool pumping_ = false;
+  std::vector<std::pair<CallId, unsigned>> due_;  // attempts to be sent at the end of the pass
+  std::unordered_set<CallId> past_;               // calls that are over, so that nothing is told twice
+  std::deque<CallId> past_order_;
+  Front* strays_ = nullptr;
+};
+
+}  // namespace yewslip
--- /dev/null
+++ b/src/front/binary.cpp
@@ -0,0 +1,360 @@
+#include "front/binary.hpp"
+
+#include <sys/socket.h>
+
+#include <algorithm>
+#include <charconv>
+#include <cmath>
+#include <utility>
+
+#include "settings.hpp"
+
+namespace yewslip {
+namespace {
+
+enum class Type : std::uint8_t {
+  setup = 1,
+  progress = 6,
+  answer = 9,
+  release = 12,
+  heard = 16,
+  test = 52,
+  tested = 53
+};
+
+enum class Code : std::uint8_t {
+  call_class = 180,
+  patience = 182,
+  retry = 186,
+  number = 188,
+  figures = 190,
+  stay_away = 192,
+  cause = 208,
+  description = 210,
+};
+
+constexpr std::size_t kPrefix = 2;  // the length
+constexpr std::size_t kHead = 9;    // type and call
+constexpr std::size_t kLongestMessage = 16 * 1024;
+constexpr std::size_t kMostHomeless = 10000;
+constexpr Duration kIdleLimit = std::chrono::seconds(60);
+constexpr Duration kSweep = std::chrono::seconds(5);
+
+std::uint16_t big_endian(std::string_view bytes) {
+  return static_cast<std::uint16_t>(static_cast<std::uint8_t>(bytes[0]) << 8 |
+                                    static_cast<std::uint8_t>(bytes[1]));
+}
+
+CallId call_of(std::string_view bytes) {
+  CallId call = 0;
+  for (std::size_t i = 0; i < 8; ++i) call = call << 8 | static_cast<std::uint8_t>(bytes[i]);
+  return call;
+}
+
+// The next parameter is taken off `rest`; false if it is cut short.
+bool next_parameter(std::string_view& rest, Code& code, std::string_view& value) {
+  if (rest.size() < 3) return false;
+  const std::size_t length = big_endian(rest.substr(1));
+  if (rest.size() < 3 + length) return false;
+  code = static_cast<Code>(rest[0]);
+  value = rest.substr(3, length);
+  rest.remove_prefix(3 + length);
+  return true;
+}
+
+std::optional<double> number(std::string_view text) {
+  double value = 0;
+  const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
+  if (error != std::errc{} || end != text.data() + text.size() || !std::isfinite(value)) return std::nullopt;
+  return value;
+}
+
+// "dest:2;width:1;via:-1;again:1"
+void read_figures(std::string_view text, Request& request) {
+  while (!text.empty()) {
+    const auto item = text.substr(0, text.find(';'));
+    text.remove_prefix(std::min(text.size(), item.size() + 1));
+    const auto name = item.substr(0, item.find(':'));
+    const auto value = name.size() < item.size() ? number(item.substr(name.size() + 1)) : std::nullopt;
+    if (!value) continue;
+    const int figure = static_cast<int>(std::clamp(*value, -1.0, 1e6));
+    if (name == "dest") request.first_choice = figure;
+    if (name == "via") request.advised = figure;
+    if (name == "again") request.cut = figure > 0;
+  }
+}
+
+// A message as it is built: the length comes last.
+class Message {
+ public:
+  Message(Type type, CallId call) : bytes_(kPrefix, '\0') {
+    bytes_ += static_cast<char>(type);
+    for (int shift = 56; shift >= 0; shift -= 8) bytes_ += static_cast<char>(call >> shift & 0xff);
+  }
+  Message& put(Code code, std::string_view value) {
+    open(code, value.size());
+    bytes_ += value;
+    return *this;
+  }
+  Message& put_cause(int cause) {
+    const char byte = static_cast<char>(cause);
+    return put(Code::cause, {&byte, 1});
+  }
+  Segment finish(std::uint64_t tag, std::string description = {}) {
+    if (!description.empty()) open(Code::description, description.size());
+    const std::size_t length = bytes_.size() + description.size() - kPrefix;
+    bytes_[0] = static_cast<char>(length >> 8 & 0xff);
+    bytes_[1] = static_cast<char>(length & 0xff);
+    return {std::move(bytes_), std::move(description), tag};
+  }
+
+ private:
+  void open(Code code, std::size_t size) {
+    bytes_ += static_cast<char>(code);
+    bytes_ += static_cast<char>(size >> 8 & 0xff);
+    bytes_ += static_cast<char>(size & 0xff);
+  }
+  std::string bytes_;
+};
+
+// What an unsent segment was; the call is in its head.
+enum class Kind : std::uint64_t { other, answer, over };
+
+CallId call_in(const Segment& segment) { return call_of(std::string_view(segment.head).substr(kPrefix + 1)); }
+
+std::uint64_t tag(Kind kind) { return static_cast<std::uint64_t>(kind); }
+
+}  // namespace
+
+BinaryFront::BinaryFront(Loop& loop, Logger& log, Core& core, const sockaddr_in& listen,
+                         std::size_t most_connections)
+    : loop_(loop), log_(log), core_(core), listener_(listen_on(listen)), most_connections_(most_connections) {
+  loop_.watch(*this, Rank::callers);
+  sweep();
+}
+
+BinaryFront::~BinaryFront() {
+  loop_.forget(*this);
+  for (auto& [stream, connection] : connections_) connection.stream->close();
+}
+
+bool BinaryFront::idle() const {
+  return homeless_.empty() && std::all_of(connections_.begin(), connections_.end(), [](const auto& item) {
+           return item.second.open.empty() && item.second.stream->unsent().empty();
+         });
+}
+
+// ---- Connections
+
+// At the limit callers wait in the kernel's line until there is room.
+short BinaryFront::interest() const { return connections_.size() < most_connections_ ? POLLIN : 0; }
+
+void BinaryFront::ready(short) {
+  while (connections_.size() < most_connections_ || make_room()) {
+    Fd fd(::accept(listener_.get(), nullptr, nullptr));
+    if (!fd) return;
+    Connection connection;
+    connection.stream =
+        std::make_shared<Stream>(loop_, std::move(fd), static_cast<Stream::Owner&>(*this), Rank::callers);
+    Stream& stream = *connection.stream;
+    connections_.emplace(&stream, std::move(connection));
+    for (Segment& segment : std::exchange(homeless_, {})) stream.send(std::move(segment));
+  }
+}
+
+bool BinaryFront::make_room() {
+  auto oldest = connections_.end();
+  for (auto each = connections_.begin(); each != connections_.end(); ++each) {
+    if (!each->second.open.empty() || !each->second.stream->unsent().empty()) continue;
+    if (oldest == connections_.end() ||
+        each->second.stream->last_used() < oldest->second.stream->last_used()) {
+      oldest = each;
+    }
+  }
+  if (oldest == connections_.end()) return false;
+  close(oldest, "room needed");
+  return true;
+}
+
+// Connections that nobody uses are reclaimed; one on which no set-up is open may be closed at any time.
+void BinaryFront::sweep() {
+  for (auto each = connections_.begin(); each != connections_.end();) {
+    const auto next = std::next(each);
+    const bool idle = each->second.open.empty() && each->second.stream->unsent().empty();
+    if (idle && loop_.now() - each->second.stream->last_used() > kIdleLimit) close(each, nullptr);
+    each = next;
+  }
+  if (connections_.size() >= most_connections_) make_room();
+  loop_.at(loop_.now() + kSweep, [this] { sweep(); });
+}
+
+void BinaryFront::close(Connections::iterator connection, const char* why) {
+  if (why) log_.line("caller: connection closed: %s", why);
+  Stream& stream = *connection->second.stream;
+  stream.close();
+  lost(stream, Lost::closed);
+}
+
+// The set-ups open on it are given up. A call that stands goes on, unless its answer never left; what ends
+// such calls goes out on another connection.
+void BinaryFront::lost(Stream& stream, Lost) {
+  const auto found = connections_.find(&stream);
+  if (found == connections_.end()) return;
+  Connection gone = std::move(found->second);
+  connections_.erase(found);
+  loop_.bury(gone.stream);
+  for (const CallId call : gone.open) {
+    calls_.erase(call);
+    core_.withdraw(call);
+  }
+  for (const Segment& segment : gone.stream->unsent()) {
+    const CallId call = call_in(segment);
+    if (segment.tag == tag(Kind::answer)) {
+      calls_.erase(call);
+      core_.release(call, cause::kTemporary);
+    } else if (segment.tag == tag(Kind::over)) {
+      const auto cause = static_cast<std::uint8_t>(segment.head.back());
+      over(call, cause);
+    }
+  }
+}
+
+// ---- From callers
+
+void BinaryFront::arrived(Stream& stream) {
+  while (stream.alive()) {
+    const std::string_view input = stream.input();
+    if (input.size() < kPrefix) return;
+    const std::size_t length = big_endian(input);
+    const auto found = connections_.find(&stream);
+    if (found == connections_.end()) return;
+    if (length < kHead || length > kLongestMessage) return close(found, "malformed message");
+    if (input.size() < kPrefix + length) return;
+    const bool good = take(found->second, input.substr(kPrefix, length));
+    if (!stream.alive()) return;
+    if (!good) return close(connections_.find(&stream), "malformed message");
+    stream.consume(kPrefix + length);
+  }
+}
+
+bool BinaryFront::take(Connection& from, std::string_view message) {
+  const auto type = static_cast<Type>(message[0]);
+  const CallId call = call_of(message.substr(1));
+  const std::string_view parameters = message.substr(kHead);
+  std::string_view rest = parameters, value;
+  for (Code code{}; !rest.empty();) {
+    if (!next_parameter(rest, code, value)) return false;
+  }
+  switch (type) {
+    case Type::setup:
+      return take_setup(from, call, parameters);
+    case Type::release:
+      take_release(from, call, parameters);
+      return true;
+    case Type::test:
+      from.stream->send(
+          Message(Type::tested, call).put_cause(core_.ready() ? 1 : 0).finish(tag(Kind::other)));
+      return true;
+    default:
+      return true;  // progress and the like mean nothing
+  }
+}
+
+bool BinaryFront::take_setup(Connection& from, CallId call, std::string_view parameters) {
+  Request request;
+  request.call = call;
+  request.came = loop_.now();
+  std::string_view value;
+  for (Code code{}; !parameters.empty() && next_parameter(parameters, code, value);) {
+    if (code == Code::call_class) request.call_class = value;
+    if (code == Code::number) request.number = value;
+    if (code == Code::description) request.description = value;
+    if (code == Code::retry) request.redialled = value == "1";
+    if (code == Code::figures) read_figures(value, request);
+    if (code == Code::patience) {
+      const auto ms = number(value);
+      if (!ms) return false;
+      request.patience = from_ms(std::max(*ms, 0.0));
+    }
+  }
+  if (calls_.count(call) > 0) {
+    log_.line("caller: a set-up came twice, ignored");
+    return true;
+  }
+  from.open.insert(call);
+  calls_[call] = from.stream.get();
+  core_.request(std::move(request), *this);
+  return true;
+}
+
+void BinaryFront::take_release(Connection& from, CallId call, std::string_view parameters) {
+  int cause = cause::kNormal;
+  std::string_view value;
+  for (Code code{}; !parameters.empty() && next_parameter(parameters, code, value);) {
+    if (code == Code::cause && value.size() == 1) cause = static_cast<std::uint8_t>(value[0]);
+  }
+  from.stream->send(Message(Type::heard, call).finish(tag(Kind::other)));
+  Connection* const owner = owner_of(call);
+  const bool open = owner && owner->open.erase(call) > 0;
+  calls_.erase(call);
+  if (open) {
+    core_.withdraw(call);
+  } else {
+    core_.release(call, cause);
+  }
+}
+
+// ---- To callers
+
+BinaryFront::Connection* BinaryFront::owner_of(CallId call) {
+  const auto found = calls_.find(call);
+  if (found == calls_.end()) return nullptr;
+  const auto connection = connections_.find(found->second);
+  return connection == connections_.end() ? nullptr : &connection->second;
+}
+
+// The connection on which the call's answer goes out; it is open there no more.
+BinaryFront::Connection* BinaryFront::settle(CallId call) {
+  Connection* const connection = owner_of(call);
+  if (connection) connection->open.erase(call);
+  return connection;
+}
+
+void BinaryFront::answer(CallId call, std::string description) {
+  if (Connection* const to = settle(call)) {
+    to->stream->send(Message(Type::answer, call).finish(tag(Kind::answer), std::move(description)));
+  }
+}
+
+void BinaryFront::refuse(CallId call, std::optional<Duration> stay_away) {
+  Connection* const to = settle(call);
+  calls_.erase(call);
+  if (!to) return;
+  Message message(Type::release, call);
+  message.put_cause(cause::kCongestion);
+  if (stay_away) message.put(Code::stay_away, std::to_string(*stay_away / std::chrono::milliseconds(1)));
+  to->stream->send(message.finish(tag(Kind::other)));
+}
+
+void BinaryFront::fail(CallId call, Failure why) {
+  Connection* const to = settle(call);
+  calls_.erase(call);
+  if (!to) return;
+  const int cause = why == Failure::timed_out ? cause::kNoAnswer : cause::kTemporary;
+  to->stream->send(Message(Type::release, call).put_cause(cause).finish(tag(Kind::other)));
+}
+
+// On the call's own connection, on any other, or on the next that opens.
+void BinaryFront::over(CallId call, int cause) {
+  Connection* to = owner_of(call);
+  calls_.erase(call);
+  if (!to && !connections_.empty()) to = &connections_.begin()->second;
+  Segment segment = Message(Type::release, call).put_cause(cause).finish(tag(Kind::over));
+  if (to) {
+    to->stream->send(std::move(segment));
+  } else if (homeless_.size() < kMostHomeless) {
+    homeless_.push_back(std::move(segment));
+  }
+}
+
+}  // namespace yewslip
--- /dev/null
+++ b/src/log.hpp
@@ -0,0 +1,28 @@
+// The program's log: lines on standard error, at most so many a second.
+#pragma once
+
+#include <cstdarg>
+#include <cstdio>
+
+#include "yewslip/controller.hpp"
+
+namespace yewslip {
+
+class Logger {
+ public:
+  explicit Logger(std::FILE* to = stderr) : to_(to) {}
+
+  // One line. What exceeds the rate is dropped and counted; the count goes out with the next line.
+  void line(const char* format, ...) __attribute__((format(printf, 2, 3)));
+
+ private:
+  static constexpr double kLinesPerSecond = 20;
+  static constexpr double kBurst = 200;
+
+  std::FILE* to_;
+  double allowance_ = kBurst;
+  Time refilled_{};
+  unsigned dropped_ = 0;
+};
+
+}  // namespace yewslip
--- /dev/null
+++ b/src/net/coordinator.cpp
@@ -0,0 +1,180 @@
+#include "net/coordinator.hpp"
+
+#include <algorithm>
+#include <charconv>
+#include <utility>
+
+#include "config.hpp"
+
+namespace yewslip {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr Duration kConnectTimeout = milliseconds(1000);
+// A comment comes every second: a stream that is quiet for longer is dead.
+constexpr Duration kLongestSilence = milliseconds(3000);
+constexpr Duration kFirstPause = milliseconds(100);
+constexpr Duration kLongestPause = milliseconds(1000);
+constexpr std::size_t kLongestLine = 1024 * 1024;
+
+bool same_word(std::string_view a, std::string_view b) {
+  return std::equal(a.begin(), a.end(), b.begin(), b.end(), [](char x, char y) {
+    return std::tolower(static_cast<unsigned char>(x)) == std::tolower(static_cast<unsigned char>(y));
+  });
+}
+
+}  // namespace
+
+Coordinator::Coordinator(Loop& loop, Logger& log, const sockaddr_in& address, std::uint64_t index,
+                         OnNews on_news)
+    : loop_(loop), log_(log), address_(address), index_(index), on_news_(std::move(on_news)) {
+  connect();
+}
+
+Coordinator::~Coordinator() {
+  if (timer_) loop_.cancel(*timer_);
+  if (stream_) stream_->close();
+}
+
+void Coordinator::connect() {
+  part_ = Part::status;
+  chunked_ = false;
+  line_.clear();
+  data_.clear();
+  heard_ = loop_.now();
+  stream_ = std::make_shared<Stream>(loop_, address_, kConnectTimeout, static_cast<Stream::Owner&>(*this),
+                                     Rank::news);
+  watch_silence();
+}
+
+void Coordinator::watch_silence() {
+  if (timer_) loop_.cancel(*timer_);
+  timer_ = loop_.at(heard_ + kLongestSilence, [this] {
+    timer_.reset();
+    if (loop_.now() - heard_ < kLongestSilence) return watch_silence();
+    retry("silent");
+  });
+}
+
+void Coordinator::retry(const char* why) {
+  log_.line("coordinator: stream %s, asked again after event %llu", why,
+            static_cast<unsigned long long>(index_));
+  if (stream_) {
+    stream_->close();
+    loop_.bury(std::exchange(stream_, nullptr));
+  }
+  if (timer_) loop_.cancel(*timer_);
+  timer_ = loop_.at(loop_.now() + pause_, [this] {
+    timer_.reset();
+    connect();
+  });
+  pause_ = std::clamp(pause_ * 2, kFirstPause, kLongestPause);
+}
+
+void Coordinator::connected(Stream& stream) {
+  stream.send({"GET /v2/stream HTTP/1.1\r\nHost: " + address_text(address_) +
+                   "\r\nAccept: text/event-stream\r\nLast-Event-ID: " + std::to_string(index_) + "\r\n\r\n",
+               {},
+               0});
+}
+
+void Coordinator::lost(Stream&, Lost how) {
+  retry(how == Lost::refused ? "refused" : how == Lost::timed_out ? "not up in time" : "ended");
+}
+
+void Coordinator::arrived(Stream& stream) {
+  heard_ = loop_.now();
+  while (stream.alive()) {
+    const std::string_view input = stream.input();
+    if (part_ == Part::body || part_ == Part::chunk) {
+      const std::size_t count = part_ == Part::body ? input.size() : std::min(input.size(), chunk_left_);
+      if (count == 0) return;
+      const bool good = take_body(input.substr(0, count));
+      stream.consume(count);
+      chunk_left_ -= part_ == Part::chunk ? count : 0;
+      if (part_ == Part::chunk && chunk_left_ == 0) part_ = Part::chunk_end;
+      if (!good) return retry("malformed");
+      continue;
+    }
+    const auto length = input.find('\n');
+    if (length == std::string_view::npos) {
+      if (input.size() > kLongestLine) retry("malformed");
+      return;
+    }
+    std::string_view line = input.substr(0, length);
+    if (!line.empty() && line.back() == '\r') line.remove_suffix(1);
+    const bool good = head_line(line);
+    stream.consume(length + 1);
+    if (!good) return retry("malformed");
+  }
+}
+
+bool Coordinator::head_line(std::string_view line) {
+  if (part_ == Part::status) {
+    part_ = Part::headers;
+    return line.starts_with("HTTP/1.") && line.substr(8, 4) == " 200";
+  }
+  if (part_ == Part::headers) {
+    if (line.empty()) {
+      part_ = chunked_ ? Part::chunk_size : Part::body;
+      pause_ = kFirstPause;  // not nought: a stream that ends at once would be asked without a pause
+      return true;
+    }
+    const auto colon = line.find(':');
+    if (colon == std::string_view::npos) return false;
+    std::string_view value = line.substr(colon + 1);
+    value.remove_prefix(std::min(value.find_first_not_of(" \t"), value.size()));
+    if (same_word(line.substr(0, colon), "Transfer-Encoding")) chunked_ = same_word(value, "chunked");
+    return true;
+  }
+  if (part_ == Part::chunk_end) {
+    part_ = Part::chunk_size;
+    return line.empty();
+  }
+  const auto [end, error] = std::from_chars(line.data(), line.data() + line.size(), chunk_left_, 16);
+  part_ = Part::chunk;
+  return error == std::errc{} && end != line.data() && chunk_left_ > 0;
+}
+
+bool Coordinator::take_body(std::string_view bytes) {
+  while (!bytes.empty()) {
+    const auto length = bytes.find('\n');
+    line_ += bytes.substr(0, length);
+    if (line_.size() > kLongestLine || data_.size() > kLongestLine) return false;
+    if (length == std::string_view::npos) return true;
+    bytes.remove_prefix(length + 1);
+    if (!line_.empty() && line_.back() == '\r') line_.pop_back();
+    if (!event_line(std::exchange(line_, {}))) return false;
+  }
+  return true;
+}
+
+bool Coordinator::event_line(std::string_view line) {
+  if (line.empty()) return data_.empty() || event();
+  const auto colon = line.find(':');
+  const std::string_view name = line.substr(0, colon);
+  std::string_view value = colon == std::string_view::npos ? std::string_view{} : line.substr(colon + 1);
+  if (value.starts_with(' ')) value.remove_prefix(1);
+  // The id is read from the event itself, which holds it too.
+  if (name == "data") {
+    if (!data_.empty()) data_ += '\n';
+    data_ += value;
+  }
+  return true;
+}
+
+bool Coordinator::event() {
+  try {
+    const FleetNews news = parse_news(std::exchange(data_, {}));
+    if (news.index <= index_) return true;  // told before
+    index_ = news.index;
+    on_news_(news);
+    return true;
+  } catch (const ConfigError& error) {
+    log_.line("coordinator: %s", error.what());
+    return false;
+  }
+}
+
+}  // namespace yewslip
--- /dev/null
+++ b/src/net/coordinator.hpp
@@ -0,0 +1,53 @@
+// The coordinator's stream of news: HTTP, server-sent events, resumed where it broke off.
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "core/fleet.hpp"
+#include "log.hpp"
+#include "net/stream.hpp"
+
+namespace yewslip {
+
+class Coordinator : private Stream::Owner {
+ public:
+  using OnNews = std::function<void(const FleetNews&)>;
+
+  // Asks for what comes after event `index`.
+  Coordinator(Loop& loop, Logger& log, const sockaddr_in& address, std::uint64_t index, OnNews on_news);
+  ~Coordinator() override;
+
+ private:
+  enum class Part { status, headers, body, chunk_size, chunk, chunk_end };
+
+  void connected(Stream& stream) override;
+  void arrived(Stream& stream) override;
+  void lost(Stream& stream, Lost how) override;
+
+  void connect();
+  void retry(const char* why);
+  void watch_silence();
+  bool head_line(std::string_view line);
+  bool take_body(std::string_view bytes);
+  bool event_line(std::string_view line);
+  bool event();
+
+  Loop& loop_;
+  Logger& log_;
+  sockaddr_in address_;
+  std::uint64_t index_;
+  OnNews on_news_;
+  std::shared_ptr<Stream> stream_{};
+  Part part_ = Part::status;
+  bool chunked_ = false;
+  std::size_t chunk_left_ = 0;
+  std::string line_{};  // of the event stream, as far as it has come
+  std::string data_{};
+  Time heard_{};
+  Duration pause_{};
+  std::optional<Loop::TimerId> timer_{};
+};
+
+}  // namespace yewslip
--- /dev/null
+++ b/src/net/loop.cpp
@@ -0,0 +1,81 @@
+#include "net/loop.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace yewslip {
+
+void Loop::watch(Watched& watched, Rank rank) { watched_[rank].push_back(&watched); }
+
+void Loop::forget(Watched& watched) {
+  for (auto& [rank, list] : watched_) std::erase(list, &watched);
+}
+
+Loop::TimerId Loop::at(Time when, Step step) {
+  const TimerId id = ++last_timer_;
+  timer_of_[id] = timers_.emplace(when, Timer{id, std::move(step)});
+  return id;
+}
+
+void Loop::cancel(TimerId timer) {
+  const auto found = timer_of_.find(timer);
+  if (found == timer_of_.end()) return;
+  timers_.erase(found->second);
+  timer_of_.erase(found);
+}
+
+// The clock may be set back; the decisions must not see it.
+void Loop::read_clock() { now_ = std::max(now_, unix_time()); }
+
+int Loop::wait_ms(Duration longest_wait) const {
+  if (!ending_.empty()) return 0;
+  Duration wait = longest_wait;
+  if (!timers_.empty()) wait = std::min(wait, timers_.begin()->first - std::max(now_, unix_time()));
+  if (wait <= Duration{0}) return 0;
+  return static_cast<int>((wait.count() + 999) / 1000);
+}
+
+void Loop::pass(Duration longest_wait) {
+  std::vector<pollfd> polled;
+  std::vector<std::pair<Rank, Watched*>> order;
+  for (const auto& [rank, list] : watched_) {
+    for (Watched* const each : list) {
+      polled.push_back({each->descriptor(), each->interest(), 0});
+      order.emplace_back(rank, each);
+    }
+  }
+  const int count = ::poll(polled.data(), polled.size(), wait_ms(longest_wait));
+  read_clock();
+  for (std::size_t i = 0; i < polled.size() && count > 0; ++i) {
+    if (polled[i].revents == 0) continue;
+    const auto& list = watched_[order[i].first];
+    // One that an earlier step of this pass took away is gone.
+    if (std::find(list.begin(), list.end(), order[i].second) == list.end()) continue;
+    order[i].second->ready(polled[i].revents);
+  }
+  fire_timers();
+  finish();
+}
+
+void Loop::fire_timers() {
+  while (!timers_.empty() && timers_.begin()->first <= now_) {
+    Step step = std::move(timers_.begin()->second.step);
+    timer_of_.erase(timers_.begin()->second.id);
+    timers_.erase(timers_.begin());
+    step();
+  }
+}
+
+void Loop::finish() {
+  for (bool more = true; more;) {
+    more = false;
+    for (const auto& step : each_end_) more |= step();
+    for (const Step& step : std::exchange(ending_, {})) {
+      step();
+      more = true;
+    }
+  }
+  graves_.clear();
+}
+
+}  // namespace yewslip
--- /dev/null
+++ b/src/net/loop.hpp
@@ -0,0 +1,73 @@
+// The one loop: poll(2), timers and the steps that end a pass.
+//
+// A pass takes what is ready in order of rank (news of the servers before what servers say, that before what
+// callers say), then the timers that are due, then the closing steps, in which decisions are carried out and
+// queued bytes written. Nothing that is sent can so be older than news that had already arrived.
+#pragma once
+
+#include <poll.h>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <vector>
+
+#include "net/clock.hpp"
+
+namespace yewslip {
+
+enum class Rank { news, servers, callers };
+
+class Watched {
+ public:
+  virtual ~Watched() = default;
+  virtual int descriptor() const = 0;
+  virtual short interest() const = 0;
+  virtual void ready(short events) = 0;
+};
+
+class Loop {
+ public:
+  using Step = std::function<void()>;
+  using TimerId = std::uint64_t;
+
+  void watch(Watched& watched, Rank rank);
+  void forget(Watched& watched);
+
+  TimerId at(Time when, Step step);
+  void cancel(TimerId timer);
+
+  // Runs once, at the end of this pass, or of the next one if none is on.
+  void at_end(Step step) { ending_.push_back(std::move(step)); }
+  // Runs at the end of every pass, before the single steps; true if it did something.
+  void at_each_end(std::function<bool()> step) { each_end_.push_back(std::move(step)); }
+  // Kept until the pass is over: the object may still be on the stack.
+  void bury(std::shared_ptr<void> object) { graves_.push_back(std::move(object)); }
+
+  // The start of what is being handled; never runs backwards.
+  Time now() const { return now_; }
+
+  void pass(Duration longest_wait = std::chrono::seconds(1));
+
+ private:
+  struct Timer {
+    TimerId id;
+    Step step;
+  };
+
+  void read_clock();
+  void fire_timers();
+  void finish();
+  int wait_ms(Duration longest_wait) const;
+
+  std::map<Rank, std::vector<Watched*>> watched_;
+  std::multimap<Time, Timer> timers_;
+  std::map<TimerId, std::multimap<Time, Timer>::iterator> timer_of_;
+  TimerId last_timer_ = 0;
+  std::vector<Step> ending_;
+  std::vector<std::function<bool()>> each_end_;
+  std::vector<std::shared_ptr<void>> graves_;
+  Time now_ = unix_time();
+};
+
+}  // namespace yewslip
--- /dev/null
+++ b/src/net/stream.cpp
@@ -0,0 +1,236 @@
+#include "net/stream.hpp"
+
+#include <arpa/inet.h>
+#include <fcntl.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+#include <sys/uio.h>
+
+#include <algorithm>
+#include <cerrno>
+#include <charconv>
+#include <system_error>
+
+namespace yewslip {
+namespace {
+
+// A peer that sends on without end has to wait for its turn.
+constexpr std::size_t kReadAtOnce = 64 * 1024;
+// One that takes nothing is given up before it fills the memory.
+constexpr std::size_t kLongestOutput = 1024 * 1024;
+constexpr std::size_t kGathered = 64;
+
+void set_up(int fd) {
+  ::fcntl(fd, F_SETFL, ::fcntl(fd, F_GETFL) | O_NONBLOCK);
+  ::fcntl(fd, F_SETFD, FD_CLOEXEC);
+  const int on = 1;
+  ::setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+}
+
+}  // namespace
+
+Stream::Stream(Loop& loop, Fd fd, Owner& owner, Rank rank)
+    : loop_(loop), owner_(owner), fd_(std::move(fd)), came_up_(true), last_used_(loop.now()) {
+  set_up(fd_.get());
+  loop_.watch(*this, rank);
+}
+
+Stream::Stream(Loop& loop, const sockaddr_in& to, Duration timeout, Owner& owner, Rank rank)
+    : loop_(loop), owner_(owner), state_(State::connecting), last_used_(loop.now()) {
+  fd_ = Fd(::socket(AF_INET, SOCK_STREAM, 0));
+  const auto later = [this](Lost how) {
+    loop_.at_end([this, how, living = std::weak_ptr(living_)] {
+      if (!living.expired()) fail(how);
+    });
+  };
+  if (!fd_) {
+    later(Lost::refused);
+    return;
+  }
+  set_up(fd_.get());
+  const auto* const address = reinterpret_cast<const sockaddr*>(&to);
+  if (::connect(fd_.get(), address, sizeof to) != 0 && errno != EINPROGRESS) {
+    later(Lost::refused);
+    return;
+  }
+  connect_timer_ = loop_.at(loop_.now() + timeout, [this] {
+    connect_timer_.reset();
+    fail(Lost::timed_out);
+  });
+  loop_.watch(*this, rank);
+}
+
+Stream::~Stream() {
+  if (connect_timer_) loop_.cancel(*connect_timer_);
+  loop_.forget(*this);
+}
+
+void Stream::send(Segment segment) {
+  if (state_ == State::dead) return;
+  last_used_ = loop_.now();
+  queued_ += segment.head.size() + segment.body.size();
+  output_.push_back(std::move(segment));
+  if (flush_due_) return;
+  flush_due_ = true;
+  loop_.at_end([this, living = std::weak_ptr(living_)] {
+    if (living.expired()) return;
+    flush_due_ = false;
+    if (state_ == State::up) flush();
+  });
+}
+
+void Stream::close() {
+  if (state_ == State::up) flush();
+  if (state_ == State::dead) return;
+  state_ = State::dead;
+  if (connect_timer_) loop_.cancel(*connect_timer_);
+  connect_timer_.reset();
+  loop_.forget(*this);
+  fd_.reset();
+}
+
+short Stream::interest() const {
+  if (state_ == State::connecting) return POLLOUT;
+  return static_cast<short>(POLLIN | (output_.empty() ? 0 : POLLOUT));
+}
+
+void Stream::ready(short events) {
+  if (state_ == State::connecting) {
+    int error = 0;
+    socklen_t size = sizeof error;
+    ::getsockopt(fd_.get(), SOL_SOCKET, SO_ERROR, &error, &size);
+    if (error != 0) return fail(error == ETIMEDOUT ? Lost::timed_out : Lost::refused);
+    if (connect_timer_) loop_.cancel(*connect_timer_);
+    connect_timer_.reset();
+    state_ = State::up;
+    came_up_ = true;
+    owner_.connected(*this);
+    if (state_ == State::up) flush();
+    return;
+  }
+  if (events & (POLLIN | POLLHUP | POLLERR)) read();
+  if (state_ == State::up && (events & POLLOUT)) flush();
+}
+
+void Stream::read() {
+  if (taken_ > 0) input_.erase(0, std::exchange(taken_, 0));
+  const std::size_t had = input_.size();
+  std::optional<Lost> end;
+  while (input_.size() - had < kReadAtOnce) {
+    char bytes[16 * 1024];
+    const ssize_t count = ::recv(fd_.get(), bytes, sizeof bytes, 0);
+    if (count > 0) {
+      input_.append(bytes, static_cast<std::size_t>(count));
+      continue;
+    }
+    if (count < 0 && errno == EINTR) continue;
+    if (count == 0) end = Lost::closed;
+    if (count < 0 && errno != EAGAIN && errno != EWOULDBLOCK) end = Lost::reset;
+    break;
+  }
+  last_used_ = loop_.now();
+  if (input_.size() > had) owner_.arrived(*this);
+  if (end && state_ == State::up) fail(*end);
+}
+
+void Stream::flush() {
+  while (!output_.empty()) {
+    std::array<iovec, kGathered> pieces;
+    std::size_t count = 0, skip = written_;
+    const auto add = [&](std::string& bytes) {
+      const std::size_t from = std::min(skip, bytes.size());
+      skip -= from;
+      if (from < bytes.size()) pieces[count++] = {bytes.data() + from, bytes.size() - from};
+    };
+    for (auto segment = output_.begin(); segment != output_.end() && count + 2 <= kGathered; ++segment) {
+      add(segment->head);
+      add(segment->body);
+    }
+    const ssize_t sent = ::writev(fd_.get(), pieces.data(), static_cast<int>(count));
+    if (sent < 0) {
+      if (errno == EINTR) continue;
+      if (errno == EAGAIN || errno == EWOULDBLOCK) break;
+      // What the peer had sent before it broke off is still to be read; the read tells of the end.
+      return queued_ > kLongestOutput ? fail(Lost::reset) : read();
+    }
+    written_ += static_cast<std::size_t>(sent);
+    while (!output_.empty()) {
+      const std::size_t size = output_.front().head.size() + output_.front().body.size();
+      if (written_ < size) break;
+      written_ -= size;
+      queued_ -= size;
+      output_.pop_front();
+    }
+  }
+  if (queued_ > kLongestOutput) fail(Lost::reset);
+}
+
+void Stream::fail(Lost how) {
+  if (state_ == State::dead) return;
+  state_ = State::dead;
+  if (connect_timer_) loop_.cancel(*connect_timer_);
+  connect_timer_.reset();
+  loop_.forget(*this);
+  fd_.reset();
+  owner_.lost(*this, how);
+}
+
+std::optional<sockaddr_in> parse_address(std::string_view text) {
+  const auto colon = text.rfind(':');
+  if (colon == std::string_view::npos) return std::nullopt;
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  const auto digits = text.substr(colon + 1);
+  std::uint16_t port = 0;
+  const auto [end, error] = std::from_chars(digits.data(), digits.data() + digits.size(), port);
+  if (error != std::errc{} || end != digits.data() + digits.size()) return std::nullopt;
+  address.sin_port = htons(port);
+  if (::inet_pton(AF_INET, std::string(text.substr(0, colon)).c_str(), &address.sin_addr) != 1) {
+    return std::nullopt;
+  }
+  return address;
+}
+
+std::string address_text(const sockaddr_in& address) {
+  char text[INET_ADDRSTRLEN] = "";
+  ::inet_ntop(AF_INET, &address.sin_addr, text, sizeof text);
+  return std::string(text) + ":" + std::to_string(ntohs(address.sin_port));
+}
+
+namespace {
+
+Fd bound(const sockaddr_in& address, int type) {
+  Fd fd(::socket(AF_INET, type, 0));
+  const int on = 1;
+  const auto fail = [&](const char* what) {
+    throw std::system_error(errno, std::generic_category(), what + (" " + address_text(address)));
+  };
+  if (!fd) fail("no socket for");
+  ::setsockopt(fd.get(), SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+  set_up(fd.get());
+  if (::bind(fd.get(), reinterpret_cast<const sockaddr*>(&address), sizeof address) != 0) {
+    fail("cannot listen on");
+  }
+  return fd;
+}
+
+}  // namespace
+
+Fd listen_on(const sockaddr_in& address) {
+  Fd fd = bound(address, SOCK_STREAM);
+  if (::listen(fd.get(), 512) != 0) {
+    throw std::system_error(errno, std::generic_category(), "cannot listen on " + address_text(address));
+  }
+  return fd;
+}
+
+Fd bind_udp(const sockaddr_in& address) { return bound(address, SOCK_DGRAM); }
+
+sockaddr_in bound_address(const Fd& fd) {
+  sockaddr_in address{};
+  socklen_t size = sizeof address;
+  ::getsockname(fd.get(), reinterpret_cast<sockaddr*>(&address), &size);
+  return address;
+}
+
+}  // namespace yewslip
--- /dev/null
+++ b/src/net/stream.hpp
@@ -0,0 +1,95 @@
+// A TCP connection on the loop: bytes in, segments out by gathered writes.
+#pragma once
+
+#include <netinet/in.h>
+
+#include <array>
+#include <deque>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "net/fd.hpp"
+#include "net/loop.hpp"
+
+namespace yewslip {
+
+// What is written as one: a head of ours and a body that passes on unchanged. `tag` is the owner's.
+struct Segment {
+  std::string head{};
+  std::string body{};
+  std::uint64_t tag = 0;
+};
+
+enum class Lost { closed, reset, refused, timed_out };
+
+class Stream : public Watched {
+ public:
+  class Owner {
+   public:
+    virtual ~Owner() = default;
+    virtual void connected(Stream&) {}
+    // Takes whole messages off the input; what is left comes again with more.
+    virtual void arrived(Stream&) = 0;
+    // Comes once, never for a close of the owner's own. The stream is unusable afterwards.
+    virtual void lost(Stream&, Lost how) = 0;
+  };
+
+  // Takes over an accepted connection.
+  Stream(Loop& loop, Fd fd, Owner& owner, Rank rank);
+  // Connects; one that is not up after `timeout` is lost.
+  Stream(Loop& loop, const sockaddr_in& to, Duration timeout, Owner& owner, Rank rank);
+  ~Stream() override;
+
+  std::string_view input() const { return std::string_view(input_).substr(taken_); }
+  void consume(std::size_t count) { taken_ += count; }
+
+  void send(Segment segment);
+  // Segments not written in full.
+  const std::deque<Segment>& unsent() const { return output_; }
+  bool up() const { return state_ == State::up; }
+  // It was up once: what is lost then was more than an attempt to connect.
+  bool came_up() const { return came_up_; }
+  bool alive() const { return state_ != State::dead; }
+  Time last_used() const { return last_used_; }
+  // Writes what the socket takes at once, then closes.
+  void close();
+
+  int descriptor() const override { return fd_.get(); }
+  short interest() const override;
+  void ready(short events) override;
+
+ private:
+  enum class State { connecting, up, dead };
+
+  void read();
+  void flush();
+  void fail(Lost how);
+
+  Loop& loop_;
+  Owner& owner_;
+  Fd fd_;
+  State state_ = State::up;
+  std::string input_;
+  std::size_t taken_ = 0;
+  std::deque<Segment> output_;
+  std::size_t written_ = 0;  // of the first segment
+  std::size_t queued_ = 0;
+  bool flush_due_ = false;
+  bool came_up_ = false;
+  std::optional<Loop::TimerId> connect_timer_;
+  Time last_used_{};
+  // Steps of the loop that outlive the stream find it gone by this.
+  std::shared_ptr<bool> living_ = std::make_shared<bool>(true);
+};
+
+// An address as "10.0.0.4:5070"; nothing if it is none.
+std::optional<sockaddr_in> parse_address(std::string_view text);
+std::string address_text(const sockaddr_in& address);
+// A listening TCP socket or a bound UDP one; throws std::system_error.
+Fd listen_on(const sockaddr_in& address);
+Fd bind_udp(const sockaddr_in& address);
+// The address a socket is bound to: for one bound to port 0, the port it got.
+sockaddr_in bound_address(const Fd& fd);
+
+}  // namespace yewslip
--- /dev/null
+++ b/src/settings.cpp
@@ -0,0 +1,157 @@
+#include "settings.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace yewslip {
+namespace {
+
+using simdjson::dom::array;
+using simdjson::dom::element;
+using simdjson::dom::object;
+
+// An object that may be absent.
+using Facts = std::optional<object>;
+
+// A missing or null value is absent; one of another type is an error.
+template <typename T>
+std::optional<T> find(const Facts& from, std::string_view name) {
+  element found;
+  if (!from || from->at_key(name).get(found) != simdjson::SUCCESS || found.is_null()) return std::nullopt;
+  T read{};
+  if (found.get(read) != simdjson::SUCCESS) {
+    throw SettingsError("settings cannot be read: \"" + std::string(name) + "\" has the wrong type");
+  }
+  return read;
+}
+
+template <typename T>
+T value(const Facts& from, std::string_view name, T fallback) {
+  return find<T>(from, name).value_or(fallback);
+}
+
+std::string text(const Facts& from, std::string_view name) {
+  return std::string(value(from, name, std::string_view{}));
+}
+
+template <typename T, typename Take>
+void each(const Facts& from, std::string_view name, Take take) {
+  const auto list = find<array>(from, name);
+  if (!list) return;
+  for (const element entry : *list) take(T(entry.get<T>()));
+}
+
+Duration time_of(const Facts& from, std::string_view name) { return from_ms(value(from, name, 0.0)); }
+
+unsigned count_of(const Facts& from, std::string_view name, unsigned fallback) {
+  return static_cast<unsigned>(std::clamp(value(from, name, double(fallback)), 0.0, 1e6));
+}
+
+CallClass parse_class(const Facts& entry) {
+  CallClass parsed;
+  parsed.aim = time_of(entry, "aim");
+  parsed.deadline = time_of(entry, "deadline");
+  parsed.worth = value(entry, "value", parsed.worth);
+  parsed.late_worth = value(entry, "late_worth", parsed.late_worth);
+  parsed.repeatable = value(entry, "effect", std::string_view("repeatable")) == "repeatable";
+  return parsed;
+}
+
+void parse_contract(const Facts& contract, Settings& settings) {
+  settings.answer_grace = time_of(contract, "grace_to_answer");
+  settings.cold = time_of(contract, "cold");
+  settings.cold_from = value(contract, "cold_from", settings.cold_from);
+  settings.fall_multiple = value(contract, "fall_multiple", settings.fall_multiple);
+  settings.fall_window = time_of(contract, "fall");
+}
+
+void parse_limits(const Facts& limits, StartUp& start) {
+  Settings& settings = start.settings;
+  settings.attempts_cap = count_of(limits, "attempts_cap", settings.attempts_cap);
+  settings.may_cancel = value(limits, "cancelling", false);
+  settings.may_probe = value(limits, "probes", false);
+  settings.may_tell = value(limits, "may_tell", false);
+  if (value(limits, "retry_after", false)) settings.longest_stay_away = time_of(limits, "max_retry_after");
+  if (const auto limit = time_of(limits, "connect_timeout"); limit > Duration{0})
+    start.connect_timeout = limit;
+}
+
+void parse_specifics(const Facts& specifics, StartUp& start) {
+  Settings& settings = start.settings;
+  settings.resend = time_of(specifics, "resend");
+  settings.release_guard = time_of(specifics, "release_guard");
+  settings.own_number = static_cast<int>(value(specifics, "self_no", double(settings.own_number)));
+  start.waits_hinted = value(specifics, "retry_hint", false);
+  std::size_t at = 0;
+  each<array>(specifics, "class_cells", [&](array cells) {
+    if (at >= settings.classes.size()) return;
+    for (const element cell : cells) {
+      settings.classes[at].pools.push_back(static_cast<int>(double(cell.get_double())));
+    }
+    ++at;
+  });
+}
+
+StartUp translate(const Facts& facts) {
+  StartUp start;
+  Settings& settings = start.settings;
+  settings.instances = count_of(facts, "n_instances", settings.instances);
+  settings.rank = count_of(facts, "rank", settings.rank);
+  settings.quantum = time_of(facts, "quantum");
+  settings.over_share_worth = value(facts, "over_share_worth", settings.over_share_worth);
+  settings.must_subscribe = text(facts, "discovery") == "subscribe";
+  each<object>(facts, "request_classes", [&](object entry) {
+    settings.classes.push_back(parse_class(entry));
+    start.class_names.push_back(text(entry, "name"));
+    start.longest_deadline = std::max(start.longest_deadline, settings.classes.back().deadline);
+  });
+  each<object>(facts, "accounts",
+               [&](object entry) { settings.tenants.push_back({value(entry, "quota_rps", 0.0)}); });
+  parse_contract(find<object>(facts, "contract"), settings);
+  parse_limits(find<object>(facts, "limits"), start);
+  parse_specifics(find<object>(facts, "specifics"), start);
+  each<std::string_view>(find<object>(facts, "report"), "fields",
+                         [&](std::string_view name) { start.report_fields.emplace_back(name); });
+  return start;
+}
+
+}  // namespace
+
+Duration from_ms(double ms) {
+  constexpr double kTenYears = 10 * 365.0 * 86400e3;
+  if (std::isnan(ms)) return Duration{0};
+  return Duration{std::llround(std::clamp(ms, -kTenYears, kTenYears) * 1e3)};
+}
+
+StartUp parse_settings(object facts) {
+  try {
+    return translate(facts);
+  } catch (const simdjson::simdjson_error& error) {
+    throw SettingsError(std::string("settings cannot be read: ") + error.what());
+  }
+}
+
+StartUp parse_settings(std::string_view json) {
+  simdjson::dom::parser parser;
+  element root;
+  if (const auto error = parser.parse(json).get(root)) {
+    throw SettingsError(std::string("settings cannot be read: ") + simdjson::error_message(error));
+  }
+  object facts;
+  if (root.get(facts) != simdjson::SUCCESS) throw SettingsError("settings are not a JSON object");
+  return parse_settings(facts);
+}
+
+std::optional<double>* report_field(LoadReport& report, std::string_view name) {
+  if (name == "free" || name == "x0") return &report.free_circuits;
+  if (name == "size" || name == "x1") return &report.circuits;
+  if (name == "rif" || name == "inflight") return &report.in_work;
+  if (name == "q" || name == "queue") return &report.waiting;
+  if (name == "busy" || name == "util") return &report.utilisation;
+  if (name == "lat_ms" || name == "latency_ms") return &report.wait_ms;
+  if (name == "can_take" || name == "qps") return &report.setups_per_second;
+  if (name == "hold_back" || name == "eps") return &report.hold_back;
+  return nullptr;
+}
+
+}  // namespace yewslip
