--- a/adapter/main.cpp
+++ b/adapter/main.cpp
@@ -1,4 +1,4 @@
-// yewslip_sim: speaks the simulator's wire on standard input and output until the input ends.
+// quartzarch_sim: speaks the simulator's wire on standard input and output until the input ends.
 #include <algorithm>
 #include <exception>
 #include <iostream>
@@ -8,8 +8,8 @@
 
 namespace {
 
-using yewslip::wire::BatchHeader;
-using yewslip::wire::WireError;
+using quartzarch::wire::BatchHeader;
+using quartzarch::wire::WireError;
 
 // Reads in pieces, so that a false length cannot ask for memory that the input never fills.
 std::string read_exactly(std::istream& in, std::size_t count) {
@@ -26,7 +26,7 @@
 }
 
 void serve(std::istream& in, std::ostream& out) {
-  yewslip::wire::Session session;
+  quartzarch::wire::Session session;
   for (std::size_t batch = 0;; ++batch) {
     const auto at = [&] { return " (batch " + std::to_string(batch) + " of the input)"; };
     const std::string head = read_exactly(in, BatchHeader::kSize);
@@ -52,7 +52,7 @@
   try {
     serve(std::cin, std::cout);
   } catch (const std::exception& error) {
-    std::cerr << "yewslip_sim: " << error.what() << '\n';
+    std::cerr << "quartzarch_sim: " << error.what() << '\n';
     return 1;
   }
   return 0;
--- a/adapter/session.cpp
+++ b/adapter/session.cpp
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <cmath>
 
-namespace yewslip::wire {
+namespace quartzarch::wire {
 namespace {
 
 enum class EventCode : std::uint8_t {
@@ -303,4 +303,4 @@
   }
 }
 
-}  // namespace yewslip::wire
+}  // namespace quartzarch::wire
--- a/adapter/session.hpp
+++ b/adapter/session.hpp
@@ -8,11 +8,11 @@
 #include <string_view>
 #include <vector>
 
+#include "quartzarch/controller.hpp"
 #include "settings.hpp"
 #include "wire.hpp"
-#include "yewslip/controller.hpp"
 
-namespace yewslip::wire {
+namespace quartzarch::wire {
 
 struct BatchHeader {
   static constexpr std::size_t kSize = 20;
@@ -52,4 +52,4 @@
   std::uint32_t actions_ = 0;
 };
 
-}  // namespace yewslip::wire
+}  // namespace quartzarch::wire
--- a/adapter/wire.hpp
+++ b/adapter/wire.hpp
@@ -9,7 +9,7 @@
 #include <string_view>
 #include <type_traits>
 
-namespace yewslip::wire {
+namespace quartzarch::wire {
 
 // What was wrong with the input, and where.
 struct WireError : std::runtime_error {
@@ -66,4 +66,4 @@
   std::string bytes_;
 };
 
-}  // namespace yewslip::wire
+}  // namespace quartzarch::wire
--- a/include/yewslip/controller.hpp
+++ b/include/quartzarch/controller.hpp
@@ -1,4 +1,4 @@
-// yewslip: the interface of the call controller.
+// quartzarch: the interface of the call controller.
 //
 // One Controller is one front. The caller hands it the settings and a seed at the start, then every event
 // with the time at which it happened, and carries out the actions that come back, in their order. The
@@ -16,7 +16,7 @@
 #include <variant>
 #include <vector>
 
-namespace yewslip {
+namespace quartzarch {
 
 using Duration = std::chrono::microseconds;
 using Time = std::chrono::microseconds;  // since an origin of the caller's choice; never runs backwards
@@ -197,4 +197,4 @@
   std::unique_ptr<State> state_;
 };
 
-}  // namespace yewslip
+}  // namespace quartzarch
--- a/src/config.cpp
+++ b/src/config.cpp
@@ -10,7 +10,7 @@
 
 #include "net/stream.hpp"
 
-namespace yewslip {
+namespace quartzarch {
 namespace {
 
 using simdjson::dom::array;
@@ -132,4 +132,4 @@
   return parse_config(text.str());
 }
 
-}  // namespace yewslip
+}  // namespace quartzarch
--- a/src/config.hpp
+++ b/src/config.hpp
@@ -10,7 +10,7 @@
 #include "core/fleet.hpp"
 #include "settings.hpp"
 
-namespace yewslip {
+namespace quartzarch {
 
 struct ConfigError : std::runtime_error {
   using std::runtime_error::runtime_error;
@@ -34,4 +34,4 @@
 // One event of the coordinator. Throws ConfigError if it is malformed.
 FleetNews parse_news(std::string_view json);
 
-}  // namespace yewslip
+}  // namespace quartzarch
--- a/src/controller.cpp
+++ b/src/controller.cpp
@@ -1,8 +1,8 @@
-// The decisions of yewslip. Interface: include/yewslip/controller.hpp
+// The decisions of quartzarch. Interface: include/quartzarch/controller.hpp
 //
 // Each sender keeps one gap per server, the least time between new set-ups sent there ("Rate Throttle
 // Clients"). docs/design.md tells what is kept of the source, what is changed and when each exception acts.
-#include "yewslip/controller.hpp"
+#include "quartzarch/controller.hpp"
 
 #include <algorithm>
 #include <cmath>
@@ -10,7 +10,7 @@
 #include <random>
 #include <utility>
 
-namespace yewslip {
+namespace quartzarch {
 namespace {
 
 using std::chrono::milliseconds;
@@ -731,4 +731,4 @@
 
 std::vector<Action> Controller::handle(Time now, const Event& event) { return state_->handle(now, event); }
 
-}  // namespace yewslip
+}  // namespace quartzarch
--- a/src/core/calls.hpp
+++ b/src/core/calls.hpp
@@ -4,9 +4,9 @@
 #include <optional>
 #include <string>
 
-#include "yewslip/controller.hpp"
+#include "quartzarch/controller.hpp"
 
-namespace yewslip {
+namespace quartzarch {
 
 // Causes of a release (Q.850's numbers), as both wires use them.
 namespace cause {
@@ -60,4 +60,4 @@
   virtual bool ready() const = 0;
 };
 
-}  // namespace yewslip
+}  // namespace quartzarch
--- a/src/core/exchange.hpp
+++ b/src/core/exchange.hpp
@@ -8,7 +8,7 @@
 
 #include "core/calls.hpp"
 
-namespace yewslip {
+namespace quartzarch {
 
 class Exchange {
  public:
@@ -62,4 +62,4 @@
   State state_ = State::open;
 };
 
-}  // namespace yewslip
+}  // namespace quartzarch
--- a/src/core/fleet.cpp
+++ b/src/core/fleet.cpp
@@ -3,7 +3,7 @@
 #include <set>
 #include <utility>
 
-namespace yewslip {
+namespace quartzarch {
 
 const Host* Fleet::at(const ServerId& address) const {
   const Host* found = nullptr;
@@ -54,4 +54,4 @@
   return change;
 }
 
-}  // namespace yewslip
+}  // namespace quartzarch
--- a/src/core/fleet.hpp
+++ b/src/core/fleet.hpp
@@ -5,9 +5,9 @@
 #include <string>
 #include <vector>
 
-#include "yewslip/controller.hpp"
+#include "quartzarch/controller.hpp"
 
-namespace yewslip {
+namespace quartzarch {
 
 struct Host {
   std::string name{};
@@ -36,4 +36,4 @@
   std::map<std::string, Host> hosts_;
 };
 
-}  // namespace yewslip
+}  // namespace quartzarch
--- a/src/core/planner.cpp
+++ b/src/core/planner.cpp
@@ -4,7 +4,7 @@
 #include <charconv>
 #include <utility>
 
-namespace yewslip {
+namespace quartzarch {
 namespace {
 
 // More calls at once than the memory is meant for are turned away unseen.
@@ -319,4 +319,4 @@
 
 void Planner::carry_out(const Log& action) { log_.line("%s", action.text.c_str()); }
 
-}  // namespace yewslip
+}  // namespace quartzarch
--- a/src/core/planner.hpp
+++ b/src/core/planner.hpp
@@ -14,7 +14,7 @@
 #include "net/servers.hpp"
 #include "settings.hpp"
 
-namespace yewslip {
+namespace quartzarch {
 
 class Planner : public Core, private Servers::Owner {
  public:
@@ -81,4 +81,4 @@
   Front* strays_ = nullptr;
 };
 
-}  // namespace yewslip
+}  // namespace quartzarch
--- a/src/front/binary.cpp
+++ b/src/front/binary.cpp
@@ -9,7 +9,7 @@
 
 #include "settings.hpp"
 
-namespace yewslip {
+namespace quartzarch {
 namespace {
 
 enum class Type : std::uint8_t {
@@ -357,4 +357,4 @@
   }
 }
 
-}  // namespace yewslip
+}  // namespace quartzarch
--- a/src/front/binary.hpp
+++ b/src/front/binary.hpp
@@ -11,7 +11,7 @@
 #include "log.hpp"
 #include "net/stream.hpp"
 
-namespace yewslip {
+namespace quartzarch {
 
 class BinaryFront : public Front, private Watched, private Stream::Owner {
  public:
@@ -60,4 +60,4 @@
   std::deque<Segment> homeless_;                     // releases while no caller is connected
 };
 
-}  // namespace yewslip
+}  // namespace quartzarch
--- a/src/log.cpp
+++ b/src/log.cpp
@@ -5,7 +5,7 @@
 
 #include "net/clock.hpp"
 
-namespace yewslip {
+namespace quartzarch {
 
 void Logger::line(const char* format, ...) {
   const Time now = unix_time();
@@ -31,4 +31,4 @@
   std::fflush(to_);
 }
 
-}  // namespace yewslip
+}  // namespace quartzarch
--- a/src/log.hpp
+++ b/src/log.hpp
@@ -4,9 +4,9 @@
 #include <cstdarg>
 #include <cstdio>
 
-#include "yewslip/controller.hpp"
+#include "quartzarch/controller.hpp"
 
-namespace yewslip {
+namespace quartzarch {
 
 class Logger {
  public:
@@ -25,4 +25,4 @@
   unsigned dropped_ = 0;
 };
 
-}  // namespace yewslip
+}  // namespace quartzarch
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -14,7 +14,7 @@
 
 namespace {
 
-using namespace yewslip;
+using namespace quartzarch;
 using std::chrono::milliseconds;
 
 // After SIGTERM new connections come for up to 0.4 s, and requests on open ones for a further 0.2 s.
--- a/src/net/clock.hpp
+++ b/src/net/clock.hpp
@@ -3,12 +3,12 @@
 
 #include <chrono>
 
-#include "yewslip/controller.hpp"
+#include "quartzarch/controller.hpp"
 
-namespace yewslip {
+namespace quartzarch {
 
 inline Time unix_time() {
   return std::chrono::duration_cast<Time>(std::chrono::system_clock::now().time_since_epoch());
 }
 
-}  // namespace yewslip
+}  // namespace quartzarch
--- a/src/net/coordinator.cpp
+++ b/src/net/coordinator.cpp
@@ -6,7 +6,7 @@
 
 #include "config.hpp"
 
-namespace yewslip {
+namespace quartzarch {
 namespace {
 
 using std::chrono::milliseconds;
@@ -177,4 +177,4 @@
   }
 }
 
-}  // namespace yewslip
+}  // namespace quartzarch
--- a/src/net/coordinator.hpp
+++ b/src/net/coordinator.hpp
@@ -9,7 +9,7 @@
 #include "log.hpp"
 #include "net/stream.hpp"
 
-namespace yewslip {
+namespace quartzarch {
 
 class Coordinator : private Stream::Owner {
  public:
@@ -50,4 +50,4 @@
   std::optional<Loop::TimerId> timer_{};
 };
 
-}  // namespace yewslip
+}  // namespace quartzarch
--- a/src/net/fd.hpp
+++ b/src/net/fd.hpp
@@ -5,7 +5,7 @@
 
 #include <utility>
 
-namespace yewslip {
+namespace quartzarch {
 
 class Fd {
  public:
@@ -32,4 +32,4 @@
   int fd_ = -1;
 };
 
-}  // namespace yewslip
+}  // namespace quartzarch
--- a/src/net/loop.cpp
+++ b/src/net/loop.cpp
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <utility>
 
-namespace yewslip {
+namespace quartzarch {
 
 void Loop::watch(Watched& watched, Rank rank) { watched_[rank].push_back(&watched); }
 
@@ -78,4 +78,4 @@
   graves_.clear();
 }
 
-}  // namespace yewslip
+}  // namespace quartzarch
--- a/src/net/loop.hpp
+++ b/src/net/loop.hpp
@@ -14,7 +14,7 @@
 
 #include "net/clock.hpp"
 
-namespace yewslip {
+namespace quartzarch {
 
 enum class Rank { news, servers, callers };
 
@@ -70,4 +70,4 @@
   Time now_ = unix_time();
 };
 
-}  // namespace yewslip
+}  // namespace quartzarch
--- a/src/net/server_lines.cpp
+++ b/src/net/server_lines.cpp
@@ -8,7 +8,7 @@
 
 #include "settings.hpp"
 
-namespace yewslip {
+namespace quartzarch {
 namespace {
 
 // A cursor over one line. Every step gives false or nothing once the line is not JSON.
@@ -228,4 +228,4 @@
   return call;
 }
 
-}  // namespace yewslip
+}  // namespace quartzarch
--- a/src/net/server_lines.hpp
+++ b/src/net/server_lines.hpp
@@ -6,9 +6,9 @@
 #include <string_view>
 
 #include "core/calls.hpp"
-#include "yewslip/controller.hpp"
+#include "quartzarch/controller.hpp"
 
-namespace yewslip {
+namespace quartzarch {
 
 enum class ServerOp { other, accept, end, group, tested };
 
@@ -35,4 +35,4 @@
 std::string call_text(CallId call);
 std::optional<CallId> parse_call(std::string_view digits);
 
-}  // namespace yewslip
+}  // namespace quartzarch
--- a/src/net/servers.cpp
+++ b/src/net/servers.cpp
@@ -6,7 +6,7 @@
 #include <cstring>
 #include <utility>
 
-namespace yewslip {
+namespace quartzarch {
 namespace {
 
 using std::chrono::milliseconds;
@@ -220,4 +220,4 @@
   }
 }
 
-}  // namespace yewslip
+}  // namespace quartzarch
--- a/src/net/servers.hpp
+++ b/src/net/servers.hpp
@@ -12,7 +12,7 @@
 #include "net/server_lines.hpp"
 #include "net/stream.hpp"
 
-namespace yewslip {
+namespace quartzarch {
 
 // A set-up as a setup server gets it.
 struct Offer {
@@ -91,4 +91,4 @@
 
 std::string server_text(const ServerId& server);
 
-}  // namespace yewslip
+}  // namespace quartzarch
--- a/src/net/stream.cpp
+++ b/src/net/stream.cpp
@@ -11,7 +11,7 @@
 #include <charconv>
 #include <system_error>
 
-namespace yewslip {
+namespace quartzarch {
 namespace {
 
 // A peer that sends on without end has to wait for its turn.
@@ -233,4 +233,4 @@
   return address;
 }
 
-}  // namespace yewslip
+}  // namespace quartzarch
--- a/src/net/stream.hpp
+++ b/src/net/stream.hpp
@@ -12,7 +12,7 @@
 #include "net/fd.hpp"
 #include "net/loop.hpp"
 
-namespace yewslip {
+namespace quartzarch {
 
 // What is written as one: a head of ours and a body that passes on unchanged. `tag` is the owner's.
 struct Segment {
@@ -92,4 +92,4 @@
 // The address a socket is bound to: for one bound to port 0, the port it got.
 sockaddr_in bound_address(const Fd& fd);
 
-}  // namespace yewslip
+}  // namespace quartzarch
--- a/src/settings.cpp
+++ b/src/settings.cpp
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <cmath>
 
-namespace yewslip {
+namespace quartzarch {
 namespace {
 
 using simdjson::dom::array;
@@ -154,4 +154,4 @@
   return nullptr;
 }
 
-}  // namespace yewslip
+}  // namespace quartzarch
--- a/src/settings.hpp
+++ b/src/settings.hpp
@@ -8,9 +8,9 @@
 #include <string_view>
 #include <vector>
 
-#include "yewslip/controller.hpp"
+#include "quartzarch/controller.hpp"
 
-namespace yewslip {
+namespace quartzarch {
 
 struct StartUp {
   Settings settings;
@@ -38,4 +38,4 @@
 // words; null if unknown.
 std::optional<double>* report_field(LoadReport& report, std::string_view name);
 
-}  // namespace yewslip
+}  // namespace quartzarch
--- a/tests/adapter_test.cpp
+++ b/tests/adapter_test.cpp
@@ -3,7 +3,7 @@
 
 #include "session.hpp"
 
-namespace yewslip::wire {
+namespace quartzarch::wire {
 namespace {
 
 constexpr std::string_view kSettings = R"({"n_instances": 4, "quantum": 5.0, "new key": [1, {"x": null}],
@@ -197,4 +197,4 @@
 }
 
 }  // namespace
-}  // namespace yewslip::wire
+}  // namespace quartzarch::wire
--- a/tests/controller_test.cpp
+++ b/tests/controller_test.cpp
@@ -1,12 +1,12 @@
 // Tests of the decisions, without the simulator: a controller is fed events and its actions are looked at.
-#include "yewslip/controller.hpp"
+#include "quartzarch/controller.hpp"
 
 #include <gtest/gtest.h>
 
 #include <algorithm>
 #include <limits>
 
-namespace yewslip {
+namespace quartzarch {
 namespace {
 
 using std::chrono::milliseconds;
@@ -1012,4 +1012,4 @@
 }
 
 }  // namespace
-}  // namespace yewslip
+}  // namespace quartzarch
