--- a/src/front/binary.cpp
+++ b/src/front/binary.cpp
@@ -135,6 +135,7 @@
 
 BinaryFront::~BinaryFront() {
   loop_.forget(*this);
+  loop_.cancel(sweep_timer_);
   for (auto& [stream, connection] : connections_) connection.stream->close();
 }
 
@@ -146,11 +147,17 @@
 
 // ---- Connections
 
-// At the limit callers wait in the kernel's line until there is room.
-short BinaryFront::interest() const { return connections_.size() < most_connections_ ? POLLIN : 0; }
+// At the limit callers wait in the kernel's line until there is room, or a connection that may be closed for
+// them.
+short BinaryFront::interest() const {
+  const bool room = connections_.size() < most_connections_ || longest_idle() != connections_.end();
+  return room ? POLLIN : 0;
+}
 
 void BinaryFront::ready(short) {
-  while (connections_.size() < most_connections_ || make_room()) {
+  // One is there for certain; at the limit room is made for that one only.
+  if (connections_.size() >= most_connections_ && !make_room()) return;
+  while (connections_.size() < most_connections_) {
     Fd fd(::accept(listener_.get(), nullptr, nullptr));
     if (!fd) return;
     Connection connection;
@@ -162,7 +169,7 @@
   }
 }
 
-bool BinaryFront::make_room() {
+BinaryFront::Connections::const_iterator BinaryFront::longest_idle() const {
   auto oldest = connections_.end();
   for (auto each = connections_.begin(); each != connections_.end(); ++each) {
     if (!each->second.open.empty() || !each->second.stream->unsent().empty()) continue;
@@ -171,6 +178,11 @@
       oldest = each;
     }
   }
+  return oldest;
+}
+
+bool BinaryFront::make_room() {
+  const auto oldest = longest_idle();
   if (oldest == connections_.end()) return false;
   close(oldest, "room needed");
   return true;
@@ -184,11 +196,10 @@
     if (idle && loop_.now() - each->second.stream->last_used() > kIdleLimit) close(each, nullptr);
     each = next;
   }
-  if (connections_.size() >= most_connections_) make_room();
-  loop_.at(loop_.now() + kSweep, [this] { sweep(); });
+  sweep_timer_ = loop_.at(loop_.now() + kSweep, [this] { sweep(); });
 }
 
-void BinaryFront::close(Connections::iterator connection, const char* why) {
+void BinaryFront::close(Connections::const_iterator connection, const char* why) {
   if (why) log_.line("caller: connection closed: %s", why);
   Stream& stream = *connection->second.stream;
   stream.close();
--- a/src/front/binary.hpp
+++ b/src/front/binary.hpp
@@ -46,7 +46,8 @@
   void take_release(Connection& from, CallId call, std::string_view parameters);
   Connection* owner_of(CallId call);
   Connection* settle(CallId call);
-  void close(Connections::iterator connection, const char* why);
+  void close(Connections::const_iterator connection, const char* why);
+  Connections::const_iterator longest_idle() const;
   bool make_room();
   void sweep();
 
@@ -55,6 +56,7 @@
   Core& core_;
   Fd listener_;
   std::size_t most_connections_;
+  Loop::TimerId sweep_timer_ = 0;
   Connections connections_;
   std::unordered_map<CallId, const Stream*> calls_;  // open and standing ones, by the connection they came on
   std::deque<Segment> homeless_;                     // releases while no caller is connected
--- /dev/null
+++ b/src/front/sip/front.cpp
@@ -0,0 +1,346 @@
+#include "front/sip/front.hpp"
+
+#include <arpa/inet.h>
+
+#include <algorithm>
+#include <charconv>
+#include <cstdio>
+#include <utility>
+
+namespace quartzarch::sip {
+namespace {
+
+constexpr const char* kAllow = "Allow: INVITE, ACK, CANCEL, BYE, OPTIONS\r\n";
+constexpr const char* kAccept = "Accept: application/sdp\r\n";
+constexpr std::string_view kKnownMethods[] = {"REGISTER", "UPDATE", "INFO",    "PRACK",  "SUBSCRIBE",
+                                              "NOTIFY",   "REFER",  "MESSAGE", "PUBLISH"};
+constexpr Duration kAtLeastAway = std::chrono::seconds(1);
+
+std::string dialog_id(std::string_view call_id, std::string_view local_tag, std::string_view remote_tag) {
+  return std::string(call_id) + '|' + std::string(local_tag) + '|' + std::string(remote_tag);
+}
+
+template <typename Number>
+std::optional<Number> number_in(std::string_view text) {
+  Number value{};
+  const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
+  if (error != std::errc{} || end != text.data() + text.size()) return std::nullopt;
+  return value;
+}
+
+}  // namespace
+
+SipFront::SipFront(Loop& loop, Logger& log, Core& core, FrontConfig config, std::uint64_t seed)
+    : loop_(loop),
+      log_(log),
+      core_(core),
+      config_(std::move(config)),
+      random_(seed),
+      transactions_(loop, log, config_.timers, *this, config_.most_transactions),
+      transport_(loop, log, config_.udp, config_.tcp, config_.most_connections,
+                 [this](const Message& message, const Hop& from) { transactions_.receive(message, from); }) {
+  transactions_.use(transport_);
+}
+
+SipFront::~SipFront() {
+  for (auto& [call, dialog] : dialogs_) {
+    if (dialog.resend) loop_.cancel(*dialog.resend);
+    if (dialog.give_up) loop_.cancel(*dialog.give_up);
+  }
+}
+
+std::string SipFront::new_tag() {
+  char text[17];
+  std::snprintf(text, sizeof text, "%016llx", static_cast<unsigned long long>(random_()));
+  return text;
+}
+
+std::string SipFront::contact(TransportKind kind) const {
+  return "Contact: <sip:" + address_text(transport_.local(kind)) +
+         (kind == TransportKind::udp ? ">\r\n" : ";transport=tcp>\r\n");
+}
+
+// ---- Requests
+
+void SipFront::requested(const Message& message, ServerTransaction& transaction) {
+  transaction.to_tag = new_tag();
+  if (message.method() == "CANCEL") return take_cancel(transaction);
+  if (!acceptable(message, transaction)) return;
+  if (!tag_of(message.header("To")).empty()) return take_inside(message, transaction);
+  if (message.method() == "INVITE") return take_invite(message, transaction);
+  if (message.method() == "OPTIONS") {
+    return transactions_.respond(transaction, core_.ready() ? 200 : 503,
+                                 std::string(core_.ready() ? "" : "Retry-After: 1\r\n") + kAllow + kAccept);
+  }
+  if (message.method() == "BYE") return transactions_.respond(transaction, 481);
+  const bool known = std::find(std::begin(kKnownMethods), std::end(kKnownMethods), message.method()) !=
+                     std::end(kKnownMethods);
+  transactions_.respond(transaction, known ? 405 : 501, kAllow);
+}
+
+// What no request may have or lack, whatever it asks (8.2).
+bool SipFront::acceptable(const Message& message, ServerTransaction& transaction) {
+  const auto uri = parse_uri(message.uri());
+  const bool scheme = uri && (same_word(uri->scheme, "sip") || same_word(uri->scheme, "sips") ||
+                              same_word(uri->scheme, "tel"));
+  int status = 0;
+  std::string headers;
+  if (!same_word(message.version(), "SIP/2.0")) {
+    status = 505;
+  } else if (!scheme) {
+    status = uri ? 416 : 400;
+  } else if (message.has("Require")) {
+    status = 420;
+    for (const auto option : message.values("Require"))
+      headers += "Unsupported: " + std::string(option) + "\r\n";
+  } else if (!message.body().empty() && message.method() == "INVITE" &&
+             !same_word(message.header("Content-Type").substr(0, message.header("Content-Type").find(';')),
+                        "application/sdp")) {
+    status = 415;
+    headers = kAccept;
+  }
+  if (status == 0) return true;
+  transactions_.respond(transaction, status, headers);
+  return false;
+}
+
+void SipFront::take_invite(const Message& message, ServerTransaction& transaction) {
+  const Received& received = transaction.request();
+  // The same INVITE by another way (8.2.2.2): one of them is enough.
+  const std::string merge_key =
+      received.call_id + '|' + std::string(tag_of(received.from)) + '|' + received.cseq;
+  if (by_merge_key_.count(merge_key) > 0) return transactions_.respond(transaction, 482);
+  const auto contacts = message.values("Contact");
+  if (contacts.empty() || !parse_uri(uri_of(contacts.front())) || tag_of(received.from).empty()) {
+    return transactions_.respond(transaction, 400);
+  }
+  const auto uri = parse_uri(message.uri());
+  if (uri->user.empty()) return transactions_.respond(transaction, 484);
+  transactions_.respond(transaction, 100);
+
+  Request request;
+  do {
+    request.call = random_();
+  } while (dialogs_.count(request.call) > 0);
+  request.came = loop_.now();
+  request.number = uri->user;
+  request.description = message.body();
+  request.call_class = message.header("X-Call-Class");
+  if (request.call_class.empty()) request.call_class = config_.default_class;
+  request.first_choice = number_in<int>(message.header("X-First-Choice")).value_or(-1);
+  request.redialled = message.header("X-Repeat") == "1";
+  if (const auto seconds = number_in<unsigned>(message.header("Expires"))) {
+    request.patience = std::chrono::seconds(std::min(*seconds, 86400u));
+  }
+  transaction.subject = request.call;
+  open_dialog(message, transaction, request.call);
+  dialogs_[request.call].merge_key = merge_key;
+  by_merge_key_[merge_key] = request.call;
+  core_.request(std::move(request), *this);
+}
+
+// The dialog's state as its 2xx will establish it (12.1.1).
+void SipFront::open_dialog(const Message& message, ServerTransaction& transaction, CallId call) {
+  const Received& received = transaction.request();
+  Dialog& dialog = dialogs_[call];
+  dialog.call = call;
+  dialog.invite = transaction.key();
+  dialog.call_id = received.call_id;
+  dialog.local = received.to + ";tag=" + transaction.to_tag;
+  dialog.remote = received.from;
+  dialog.invite_cseq = dialog.remote_cseq = received.cseq_number;
+  dialog.id = dialog_id(received.call_id, transaction.to_tag, tag_of(received.from));
+  dialog.target = uri_of(message.values("Contact").front());
+  dialog.hop = received.reply_to;
+  const auto routes = message.values("Record-Route");
+  for (const auto route : routes) dialog.routes += "Route: " + std::string(route) + "\r\n";
+  dialog.first_hop = routes.empty() ? dialog.target : std::string(uri_of(routes.front()));
+  by_id_[dialog.id] = call;
+}
+
+void SipFront::take_inside(const Message& message, ServerTransaction& transaction) {
+  const Received& received = transaction.request();
+  Dialog* const dialog = find(dialog_id(received.call_id, tag_of(received.to), tag_of(received.from)));
+  if (!dialog) return transactions_.respond(transaction, 481);
+  // Of two requests the later one was answered already (12.2.2).
+  if (received.cseq_number < dialog->remote_cseq) return transactions_.respond(transaction, 500);
+  dialog->remote_cseq = received.cseq_number;
+  if (message.method() == "BYE") return take_bye(*dialog, transaction);
+  if (message.method() == "INVITE") {
+    // What a call was set up with is not changed; the call itself goes on.
+    return dialog->acknowledged ? transactions_.respond(transaction, 488)
+                                : transactions_.respond(transaction, 491);
+  }
+  if (message.method() == "OPTIONS")
+    return transactions_.respond(transaction, 200, std::string(kAllow) + kAccept);
+  transactions_.respond(transaction, 405, kAllow);
+}
+
+void SipFront::take_cancel(ServerTransaction& transaction) {
+  ServerTransaction* const invite = transactions_.cancelled_by(transaction);
+  if (!invite) return transactions_.respond(transaction, 481);
+  transaction.to_tag = invite->to_tag;
+  transactions_.respond(transaction, 200);
+  // After a final response it has no effect (9.2).
+  if (invite->answered()) return;
+  const CallId call = invite->subject;
+  fail_invite(call, 487);
+  core_.withdraw(call);
+}
+
+void SipFront::take_bye(Dialog& dialog, ServerTransaction& transaction) {
+  transactions_.respond(transaction, 200);
+  const CallId call = dialog.call;
+  const bool answered = dialog.answered, over = dialog.over.has_value();
+  // A BYE before the answer ends the call like a CANCEL (15.1.2).
+  if (!answered) fail_invite(call, 487);
+  erase(call);
+  if (over) return;
+  if (answered) {
+    core_.release(call, cause::kNormal);
+  } else {
+    core_.withdraw(call);
+  }
+}
+
+// ---- Answers
+
+SipFront::Dialog* SipFront::find(CallId call) {
+  const auto found = dialogs_.find(call);
+  return found == dialogs_.end() ? nullptr : &found->second;
+}
+
+SipFront::Dialog* SipFront::find(const std::string& id) {
+  const auto found = by_id_.find(id);
+  return found == by_id_.end() ? nullptr : find(found->second);
+}
+
+void SipFront::erase(CallId call) {
+  const auto found = dialogs_.find(call);
+  if (found == dialogs_.end()) return;
+  Dialog& dialog = found->second;
+  if (dialog.resend) loop_.cancel(*dialog.resend);
+  if (dialog.give_up) loop_.cancel(*dialog.give_up);
+  by_id_.erase(dialog.id);
+  by_merge_key_.erase(dialog.merge_key);
+  dialogs_.erase(found);
+}
+
+void SipFront::answer(CallId call, std::string description) {
+  Dialog* const dialog = find(call);
+  ServerTransaction* const invite = dialog ? transactions_.find(dialog->invite) : nullptr;
+  if (!invite) return core_.release(call, cause::kTemporary);
+  dialog->answered = true;
+  std::string headers = contact(dialog->hop.kind) + kAllow;
+  if (!description.empty()) headers += "Content-Type: application/sdp\r\n";
+  transactions_.respond(*invite, 200, headers, description);
+  // Until the ACK comes, on whatever transport (13.3.1.4).
+  dialog->interval = config_.timers.t1;
+  dialog->resend = loop_.at(loop_.now() + dialog->interval, [this, call] { resend_answer(call); });
+  dialog->give_up = loop_.at(loop_.now() + config_.timers.longest(), [this, call] { give_up(call); });
+}
+
+void SipFront::resend_answer(CallId call) {
+  Dialog* const dialog = find(call);
+  ServerTransaction* const invite = dialog ? transactions_.find(dialog->invite) : nullptr;
+  if (!invite) return;
+  transactions_.repeat(*invite);
+  dialog->interval = std::min(dialog->interval * 2, config_.timers.t2);
+  dialog->resend = loop_.at(loop_.now() + dialog->interval, [this, call] { resend_answer(call); });
+}
+
+void SipFront::asked_again(ServerTransaction& transaction) {
+  const Dialog* const dialog = find(transaction.subject);
+  if (dialog && !dialog->acknowledged) transactions_.repeat(transaction);
+}
+
+void SipFront::forgotten(ServerTransaction&) {}
+
+// The ACK never came: the caller cannot have the call.
+void SipFront::give_up(CallId call) {
+  Dialog* const dialog = find(call);
+  if (!dialog) return;
+  dialog->give_up.reset();
+  log_.line("sip: no ACK for call %s, ended", dialog->call_id.c_str());
+  const bool over = dialog->over.has_value();
+  say_bye(*dialog);
+  if (!over) core_.release(call, cause::kTemporary);
+}
+
+void SipFront::acknowledged(const Message& message) {
+  Dialog* const dialog = find(
+      dialog_id(message.header("Call-ID"), tag_of(message.header("To")), tag_of(message.header("From"))));
+  const auto cseq = parse_cseq(message.header("CSeq"));
+  if (!dialog || !dialog->answered || cseq->number != dialog->invite_cseq) return;
+  dialog->acknowledged = true;
+  if (dialog->resend) loop_.cancel(*std::exchange(dialog->resend, std::nullopt));
+  if (dialog->give_up) loop_.cancel(*std::exchange(dialog->give_up, std::nullopt));
+  if (dialog->over) say_bye(*dialog);
+}
+
+void SipFront::fail_invite(CallId call, int status, const std::string& headers) {
+  const Dialog* const dialog = find(call);
+  if (!dialog) return;
+  if (ServerTransaction* const invite = transactions_.find(dialog->invite)) {
+    transactions_.respond(*invite, status, headers);
+  }
+  erase(call);
+}
+
+void SipFront::refuse(CallId call, std::optional<Duration> stay_away) {
+  const auto away = std::max(stay_away.value_or(Duration{0}), kAtLeastAway) + std::chrono::milliseconds(999);
+  fail_invite(call, 503, "Retry-After: " + std::to_string(away / std::chrono::seconds(1)) + "\r\n");
+}
+
+void SipFront::fail(CallId call, Failure why) { fail_invite(call, why == Failure::timed_out ? 504 : 500); }
+
+void SipFront::over(CallId call, int cause) {
+  Dialog* const dialog = find(call);
+  if (!dialog) return;
+  dialog->over = cause;
+  if (dialog->acknowledged) say_bye(*dialog);  // else with the ACK, or when that is given up (15)
+}
+
+// To the first route or the peer's Contact, on the way the INVITE came where that is no address.
+void SipFront::say_bye(Dialog& dialog) {
+  const CallId call = dialog.call;
+  Hop to = dialog.hop;
+  const auto uri = parse_uri(dialog.first_hop);
+  const std::string port = std::to_string(uri && uri->port != 0 ? uri->port : 5060);
+  const auto address = uri ? parse_address(std::string(uri->host) + ":" + port) : std::nullopt;
+  if (address) {
+    to.address = *address;
+    if (same_word(uri->transport, "tcp")) to.kind = TransportKind::tcp;
+    if (same_word(uri->transport, "udp")) to.kind = TransportKind::udp;
+    if (to.kind != dialog.hop.kind) to.connection = 0;
+  }
+  const std::string reason =
+      dialog.over ? "Reason: Q.850;cause=" + std::to_string(*dialog.over) + "\r\n" : "";
+  const std::string headers =
+      "From: " + dialog.local + "\r\nTo: " + dialog.remote + "\r\nCall-ID: " + dialog.call_id +
+      "\r\nCSeq: " + std::to_string(++dialog.local_cseq) + " BYE\r\n" + dialog.routes + reason;
+  const std::string target = dialog.target;
+  erase(call);
+  transactions_.request(to, "BYE", target, headers, call);
+}
+
+void SipFront::responded(std::uint64_t, int status) {
+  // Whatever it says, the dialog is over (15.1.1).
+  if (status == 408) log_.line("sip: a BYE got no answer");
+}
+
+void SipFront::hang_up() {
+  std::vector<CallId> calls;
+  for (const auto& [call, dialog] : dialogs_) {
+    if (dialog.answered) calls.push_back(call);
+  }
+  std::sort(calls.begin(), calls.end());
+  for (const CallId call : calls) {
+    Dialog& dialog = dialogs_.at(call);
+    const bool over = dialog.over.has_value();
+    say_bye(dialog);
+    if (!over) core_.release(call, cause::kNormal);
+  }
+}
+
+}  // namespace quartzarch::sip
--- /dev/null
+++ b/src/front/sip/front_config.cpp
@@ -0,0 +1,58 @@
+#include "front/sip/front_config.hpp"
+
+#include <toml++/toml.h>
+
+#include <fstream>
+#include <sstream>
+
+namespace quartzarch::sip {
+namespace {
+
+template <typename T>
+std::optional<T> value(const toml::table& table, std::string_view key) {
+  const auto* const node = table.get(key);
+  if (!node) return std::nullopt;
+  const auto read = node->value_exact<T>();
+  if (!read) throw ConfigError("\"" + std::string(key) + "\" has the wrong type");
+  return read;
+}
+
+std::optional<sockaddr_in> address(const toml::table& table, std::string_view key) {
+  const auto text = value<std::string>(table, key);
+  if (!text) return std::nullopt;
+  const auto parsed = parse_address(*text);
+  if (!parsed) throw ConfigError("\"" + std::string(key) + "\" is no address: " + *text);
+  return parsed;
+}
+
+}  // namespace
+
+FrontConfig parse_front_config(std::string_view toml) {
+  FrontConfig config;
+  try {
+    const toml::table table = toml::parse(toml);
+    config.udp = address(table, "udp");
+    config.tcp = address(table, "tcp");
+    config.default_class = value<std::string>(table, "default_class").value_or("");
+    const auto connections = value<std::int64_t>(table, "connections").value_or(256);
+    const auto t1 = value<std::int64_t>(table, "t1_ms").value_or(500);
+    if (connections < 1 || connections > 100000) throw ConfigError("\"connections\" is out of range");
+    if (t1 < 1 || t1 > 60000) throw ConfigError("\"t1_ms\" is out of range");
+    config.most_connections = static_cast<std::size_t>(connections);
+    config.timers.t1 = std::chrono::milliseconds(t1);
+  } catch (const toml::parse_error& error) {
+    throw ConfigError("no TOML: " + std::string(error.description()));
+  }
+  if (!config.udp && !config.tcp) throw ConfigError("neither \"udp\" nor \"tcp\" is given");
+  return config;
+}
+
+FrontConfig read_front_config(const std::string& path) {
+  std::ifstream file(path);
+  if (!file) throw ConfigError("cannot be opened");
+  std::ostringstream text;
+  text << file.rdbuf();
+  return parse_front_config(text.str());
+}
+
+}  // namespace quartzarch::sip
--- /dev/null
+++ b/src/front/sip/front_config.hpp
@@ -0,0 +1,15 @@
+// The SIP front's own file, as in deploy/sip.toml.
+#pragma once
+
+#include <string>
+
+#include "config.hpp"
+#include "front/sip/front.hpp"
+
+namespace quartzarch::sip {
+
+// Throws ConfigError with one plain line.
+FrontConfig parse_front_config(std::string_view toml);
+FrontConfig read_front_config(const std::string& path);
+
+}  // namespace quartzarch::sip
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -9,6 +9,7 @@
 #include "config.hpp"
 #include "core/planner.hpp"
 #include "front/binary.hpp"
+#include "front/sip/front_config.hpp"
 #include "net/coordinator.hpp"
 #include "net/loop.hpp"
 
@@ -19,6 +20,8 @@
 
 // After SIGTERM new connections come for up to 0.4 s, and requests on open ones for a further 0.2 s.
 constexpr Duration kLastArrivals = milliseconds(800);
+// What gateways have for answering the last BYEs.
+constexpr Duration kLastByes = milliseconds(1000);
 
 // Turns SIGTERM and SIGINT into an event of the loop.
 class StopSignal : public Watched {
@@ -50,22 +53,32 @@
   std::optional<Time> came_{};
 };
 
-int serve(Logger& log, const Config& config) {
+int serve(Logger& log, const Config& config, const std::optional<sip::FrontConfig>& sip_config) {
   Loop loop;
   StopSignal stop(loop);
   Planner planner(loop, log, config.start, config.seed);
   for (const FleetNews& news : config.known) planner.news(news);
   BinaryFront front(loop, log, planner, config.listen, config.sockets / 2);
   planner.strays_to(front);
+  std::optional<sip::SipFront> sip_front;
+  if (sip_config) sip_front.emplace(loop, log, planner, *sip_config, config.seed + 1);
   const Coordinator coordinator(loop, log, config.coordinator, config.known_index,
                                 [&planner](const FleetNews& news) { planner.news(news); });
   log.line("%s: serving at %s", config.name.c_str(), address_text(config.listen).c_str());
-  bool told = false;
+  bool told = false, hung_up = false;
+  Time patience{};
   for (;;) {
     loop.pass(stop.came() ? milliseconds(20) : milliseconds(1000));
     if (!stop.came()) continue;
     if (!std::exchange(told, true)) log.line("stopping: %zu calls owe their answer", planner.owed());
-    if (loop.now() - *stop.came() >= kLastArrivals && planner.owed() == 0 && front.idle()) break;
+    if (loop.now() - *stop.came() < kLastArrivals || planner.owed() > 0 || !front.idle()) continue;
+    // Nothing of a dialog outlives the process, so its calls are ended; on the platform's protocol they go
+    // on.
+    if (sip_front && !std::exchange(hung_up, true)) {
+      sip_front->hang_up();
+      patience = loop.now() + kLastByes;
+    }
+    if (!sip_front || sip_front->idle() || loop.now() >= patience) break;
   }
   log.line("stopped");
   return 0;
@@ -73,7 +86,7 @@
 
 }  // namespace
 
-int main() {
+int main(int argc, char** argv) {
   std::signal(SIGPIPE, SIG_IGN);
   Logger log;
   const char* const path = std::getenv("NODE_CONFIG");
@@ -81,10 +94,22 @@
     log.line("configuration: NODE_CONFIG names no file");
     return 2;
   }
+  const bool with_sip = argc == 3 && std::string_view(argv[1]) == "--sip";
+  if (argc != 1 && !with_sip) {
+    log.line("usage: quartzarch [--sip FILE]");
+    return 2;
+  }
+  const char* reading = path;
   try {
-    return serve(log, read_config(path));
+    const Config config = read_config(path);
+    std::optional<sip::FrontConfig> sip_config;
+    if (with_sip) {
+      reading = argv[2];
+      sip_config = sip::read_front_config(reading);
+    }
+    return serve(log, config, sip_config);
   } catch (const ConfigError& error) {
-    log.line("configuration: %s: %s", path, error.what());
+    log.line("configuration: %s: %s", reading, error.what());
     return 2;
   } catch (const std::exception& error) {
     log.line("fatal: %s", error.what());
--- /dev/null
+++ b/tests/loopback.hpp
@@ -0,0 +1,183 @@
+// The shared helper of the network tests: a loop, scripted peers on ephemeral loopback ports, and the whole
+// program between them. No step depends on how fast the machine is: each waits until what it names has come.
+#pragma once
+
+#include <arpa/inet.h>
+#include <gtest/gtest.h>
+#include <sys/socket.h>
+
+#include <csignal>
+#include <cstdio>
+#include <functional>
+#include <string>
+
+#include "core/planner.hpp"
+#include "front/binary.hpp"
+#include "front/sip/front.hpp"
+#include "net/stream.hpp"
+
+namespace quartzarch::test {
+
+using std::chrono::milliseconds;
+
+inline sockaddr_in any_port() { return *parse_address("127.0.0.1:0"); }
+
+// A scripted peer's end of a connection, or a UDP socket.
+class Peer {
+ public:
+  Peer() = default;
+  explicit Peer(Fd fd) : fd_(std::move(fd)) {}
+  static Peer connect(const sockaddr_in& to) {
+    Peer peer{Fd(::socket(AF_INET, SOCK_STREAM, 0))};
+    EXPECT_EQ(::connect(peer.fd_.get(), reinterpret_cast<const sockaddr*>(&to), sizeof to), 0);
+    return peer;
+  }
+  // A UDP socket whose datagrams go to `to`.
+  static Peer udp(const sockaddr_in& to) {
+    Peer peer{bind_udp(any_port())};
+    EXPECT_EQ(::connect(peer.fd_.get(), reinterpret_cast<const sockaddr*>(&to), sizeof to), 0);
+    return peer;
+  }
+  explicit operator bool() const { return static_cast<bool>(fd_); }
+  std::string address() const { return address_text(bound_address(fd_)); }
+  void say(const std::string& bytes) const {
+    EXPECT_EQ(::send(fd_.get(), bytes.data(), bytes.size(), MSG_NOSIGNAL),
+              static_cast<ssize_t>(bytes.size()));
+  }
+  // Everything heard so far.
+  const std::string& heard() {
+    char bytes[65536];
+    for (ssize_t n; fd_ && (n = ::recv(fd_.get(), bytes, sizeof bytes, MSG_DONTWAIT)) >= 0;) {
+      if (n == 0) {
+        ended_ = true;
+        break;
+      }
+      heard_.append(bytes, static_cast<std::size_t>(n));
+    }
+    return heard_;
+  }
+  bool ended() {
+    heard();
+    return ended_;
+  }
+  // Takes what was heard off; what comes later is heard afresh.
+  std::string take() {
+    heard();
+    return std::exchange(heard_, {});
+  }
+  void close() { fd_.reset(); }
+  // As when a process dies: what was not read is thrown back.
+  void reset() {
+    const linger hard{1, 0};
+    ::setsockopt(fd_.get(), SOL_SOCKET, SO_LINGER, &hard, sizeof hard);
+    fd_.reset();
+  }
+
+ private:
+  Fd fd_;
+  std::string heard_;
+  bool ended_ = false;
+};
+
+class Listener {
+ public:
+  Listener() : fd_(listen_on(any_port())) {}
+  sockaddr_in address() const { return bound_address(fd_); }
+  Peer accept() { return Peer{Fd(::accept(fd_.get(), nullptr, nullptr))}; }
+  void close() { fd_.reset(); }
+
+ private:
+  Fd fd_;
+};
+
+inline std::string binary(int type, CallId call,
+                          const std::vector<std::pair<int, std::string>>& parameters = {}) {
+  std::string body(1, static_cast<char>(type));
+  for (int shift = 56; shift >= 0; shift -= 8) body += static_cast<char>(call >> shift & 0xff);
+  for (const auto& [code, value] : parameters) {
+    body += static_cast<char>(code);
+    body += static_cast<char>(value.size() >> 8);
+    body += static_cast<char>(value.size() & 0xff);
+    body += value;
+  }
+  return std::string{static_cast<char>(body.size() >> 8), static_cast<char>(body.size() & 0xff)} + body;
+}
+inline std::string setup(CallId call, const std::string& description, const std::string& ms = "5000") {
+  return binary(1, call,
+                {{180, "voice"},
+                 {182, ms},
+                 {188, "7f3a9c21e0b4d655"},
+                 {190, "dest:0;width:1;via:-1"},
+                 {210, description}});
+}
+
+// The program with two classes of call, and one stand-in setup server unless a test adds more.
+class Program : public ::testing::Test {
+ protected:
+  Program() {
+    std::signal(SIGPIPE, SIG_IGN);
+    StartUp start;
+    start.settings.classes.resize(2);
+    for (auto& c : start.settings.classes) c.aim = milliseconds(1500), c.deadline = milliseconds(9000);
+    start.class_names = {"voice", "exam"};
+    start.settings.attempts_cap = 6;
+    start.settings.may_cancel = true;
+    start.settings.resend = milliseconds(4000);
+    start.settings.release_guard = milliseconds(30);
+    start.settings.quantum = milliseconds(5);
+    start.settings.longest_stay_away = milliseconds(2000);
+    planner = std::make_unique<Planner>(loop, log, start, 1);
+    front = std::make_unique<BinaryFront>(loop, log, *planner, any_port(), 64);
+    planner->strays_to(*front);
+  }
+  // Passes of the loop until it holds; what never comes fails here.
+  void until(const std::function<bool()>& holds, const char* what = "what was waited for") {
+    for (int pass = 0; pass < 20000; ++pass) {
+      if (holds()) return;
+      loop.pass(milliseconds(1));
+    }
+    FAIL() << "never came: " << what;
+  }
+  void settle(int passes = 30) {
+    for (int i = 0; i < passes; ++i) loop.pass(milliseconds(1));
+  }
+  static Host host(const Listener& at, int number, Availability state = Availability::ready) {
+    Host host;
+    host.name = "s-" + std::to_string(number);
+    const sockaddr_in address = at.address();
+    const auto* const bytes = reinterpret_cast<const std::uint8_t*>(&address.sin_addr);
+    std::copy_n(bytes, 4, host.entry.id.address.begin());
+    host.entry.id.port = ntohs(address.sin_port);
+    host.entry.number = number;
+    host.entry.availability = state;
+    return host;
+  }
+  // The one server is listed and has its connection.
+  void open_server() {
+    planner->news({1, true, {host(listener, 0)}});
+    settle(3);
+    server = listener.accept();
+  }
+  Peer caller() { return Peer::connect(front->address()); }
+  void hears(Peer& peer, const std::string& text) {
+    until([&] { return peer.heard().find(text) != std::string::npos; }, text.c_str());
+  }
+  static std::size_t count(const std::string& in, const std::string& text) {
+    std::size_t found = 0;
+    for (auto at = in.find(text); at != std::string::npos; at = in.find(text, at + 1)) ++found;
+    return found;
+  }
+  static std::string line(const std::string& op, const std::string& call, const std::string& rest) {
+    return "{\"op\":\"" + op + "\",\"call\":\"" + call + "\",\"with\":{}," + rest + "}\n";
+  }
+
+  std::FILE* quiet = std::fopen("/dev/null", "w");
+  Logger log{quiet};
+  Loop loop;
+  Listener listener;
+  Peer server;
+  std::unique_ptr<Planner> planner;
+  std::unique_ptr<BinaryFront> front;
+};
+
+}  // namespace quartzarch::test
--- /dev/null
+++ b/tests/program_test.cpp
@@ -0,0 +1,252 @@
+// Stories of the whole program over loopback sockets, one for each failure that it guards against.
+#include "config.hpp"
+#include "loopback.hpp"
+#include "net/coordinator.hpp"
+
+namespace quartzarch::test {
+namespace {
+
+const std::string kId = "00000000000000aa";
+
+TEST_F(Program, ACallIsAnsweredWithTheServersDescriptionAndReleasedWhenItEnds) {
+  open_server();
+  Peer gateway = caller();
+  gateway.say(setup(0xaa, "v=0\r\nc=\"x\" \\ \xc3\xa9\r\n"));
+  hears(server, "\n");
+  const std::string offer = server.take();
+  EXPECT_NE(offer.find("\"class\":\"voice\""), std::string::npos);
+  EXPECT_NE(offer.find("\"key\":\"7f3a9c21e0b4d655\""), std::string::npos);
+  EXPECT_NE(offer.find("\"desc\":\"v=0\\r\\nc=\\\"x\\\" \\\\ \xc3\xa9\\r\\n\"}"), std::string::npos);
+  server.say(line("accept", kId, "\"desc\":\"s\\u00e9 \\\"1\\\"\\r\\n\""));
+  const std::string answer = binary(9, 0xaa, {{210, "s\xc3\xa9 \"1\"\r\n"}});
+  hears(gateway, answer);
+  server.say(line("end", kId, "\"why\":16"));
+  const std::string over = binary(12, 0xaa, {{208, "\x10"}});
+  hears(gateway, answer + over);
+  EXPECT_EQ(gateway.heard(), answer + over);
+}
+
+// A restarted server may break the connection after it took the set-up: one attempt at a time, and the next
+// only after the release guard.
+TEST_F(Program, ASetupThatBrokeIsSentAgainAndAnsweredOnce) {
+  open_server();
+  Peer gateway = caller();
+  gateway.say(setup(0xaa, "d"));
+  hears(server, "offer");
+  server.reset();
+  until([&] { return static_cast<bool>(server = listener.accept()); }, "the next connection");
+  hears(server, "offer");
+  server.say(line("accept", kId, "\"desc\":\"s\""));
+  hears(gateway, binary(9, 0xaa, {{210, "s"}}));
+  EXPECT_EQ(count(server.heard(), "offer"), 1u);
+}
+
+TEST_F(Program, ALateAnswerToASetupThatWasGivenUpIsReleased) {
+  open_server();
+  Peer gateway = caller();
+  gateway.say(setup(0xaa, "d"));
+  hears(server, "offer");
+  gateway.say(binary(12, 0xaa, {{208, "\x10"}}));
+  hears(server, "\"op\":\"end\"");
+  server.take();
+  server.say(line("accept", kId, "\"desc\":\"s\""));
+  hears(server, "{\"op\":\"end\",\"call\":\"" + kId + "\"");
+  EXPECT_EQ(gateway.heard(), binary(16, 0xaa));
+}
+
+// The caller's deadline passes with a set-up out: the server hears of it and the caller has one failure.
+TEST_F(Program, ASilentServerCostsTheCallerOneFailureAtItsDeadline) {
+  open_server();
+  Peer gateway = caller();
+  gateway.say(setup(0xaa, "d", "40"));
+  hears(gateway, binary(12, 0xaa, {{208, std::string(1, 18)}}));
+  EXPECT_EQ(count(server.heard(), "offer"), 1u);
+  hears(server, "\"op\":\"end\"");
+}
+
+// A process that dies cannot say so: its connection is reset and the next is refused.
+TEST_F(Program, CallsOfAServerThatDiedAreOver) {
+  open_server();
+  Peer gateway = caller();
+  gateway.say(setup(0xaa, "d"));
+  hears(server, "offer");
+  server.say(line("accept", kId, "\"desc\":\"s\""));
+  hears(gateway, binary(9, 0xaa, {{210, "s"}}));
+  listener.close();
+  server.reset();
+  hears(gateway, binary(12, 0xaa, {{208, std::string(1, 41)}}));
+}
+
+// A connection that only broke takes no call with it.
+TEST_F(Program, ACallThatStandsSurvivesItsConnectionsOnBothSides) {
+  open_server();
+  Peer gateway = caller();
+  gateway.say(setup(0xaa, "d"));
+  hears(server, "offer");
+  server.say(line("accept", kId, "\"desc\":\"s\""));
+  hears(gateway, binary(9, 0xaa, {{210, "s"}}));
+  server.close();
+  until([&] { return static_cast<bool>(server = listener.accept()); }, "the next connection");
+  gateway.close();
+  settle();
+  EXPECT_EQ(count(server.heard(), "end"), 0u);
+  server.say(line("end", kId, "\"why\":16"));
+  settle();
+  Peer other = caller();  // the release has waited for an open connection
+  hears(other, binary(12, 0xaa, {{208, "\x10"}}));
+  server.say(line("end", kId, "\"why\":16"));  // told on the next connection as well
+  settle();
+  EXPECT_EQ(other.heard(), binary(12, 0xaa, {{208, "\x10"}}));
+}
+
+// Calls from before a restart are unknown here, and their callers must hear all the same that they are over.
+TEST_F(Program, TheEndOfACallFromBeforeTheStartIsPassedOn) {
+  open_server();
+  Peer gateway = caller();
+  settle();
+  server.say(line("end", kId, "\"why\":16"));
+  hears(gateway, binary(12, 0xaa, {{208, "\x10"}}));
+}
+
+// Both messages are read in one pass: the set-up must not leave after it was given up.
+TEST_F(Program, ASetupGivenUpInTheSamePassNeverLeaves) {
+  open_server();
+  Peer gateway = caller();
+  gateway.say(setup(0xaa, "d") + binary(12, 0xaa, {{208, "\x10"}}));
+  hears(gateway, binary(16, 0xaa));
+  settle();
+  EXPECT_EQ(server.heard(), "");
+}
+
+TEST_F(Program, AMalformedMessageClosesItsConnectionOnly) {
+  open_server();
+  Peer good = caller(), bad = caller();
+  bad.say(std::string("\x00\x09\x01", 3) + "12345678" + std::string("\x00\x0b\x01", 3) + "12345678" + std::string("\xb4\x00", 2));
+  until([&] { return bad.ended(); }, "the close");
+  good.say(setup(0xaa, "d"));
+  hears(server, "offer");
+  server.say("{\"op\":\"accept\",\"call\":\"zz\"}\n");
+  until([&] { return server.ended(); }, "the close of the server's connection");
+}
+
+TEST_F(Program, ATestPassesOnceTheServersAreKnown) {
+  Peer gateway = caller();
+  gateway.say(binary(52, 7, {{208, std::string(1, 0)}}));
+  hears(gateway, binary(53, 7, {{208, std::string(1, 0)}}));
+  open_server();
+  gateway.say(binary(52, 8, {{208, std::string(1, 0)}}));
+  hears(gateway, binary(53, 8, {{208, "\x01"}}));
+}
+
+// Nothing new goes to a server that drains, even if the news came in the pass of the call.
+TEST_F(Program, ADrainingServerGetsNothingNewAndAGoneOneLosesItsCalls) {
+  open_server();
+  Peer gateway = caller();
+  gateway.say(setup(0xaa, "d"));
+  hears(server, "offer");
+  server.say(line("accept", kId, "\"desc\":\"s\""));
+  hears(gateway, binary(9, 0xaa, {{210, "s"}}));
+  planner->news({2, false, {host(listener, 0, Availability::draining)}});
+  gateway.take();
+  gateway.say(setup(0xbb, "d", "60"));
+  hears(gateway, binary(12, 0xbb, {{208, std::string(1, 42)}}).substr(2));
+  EXPECT_EQ(count(server.heard(), "offer"), 1u);
+  planner->news({3, false, {host(listener, 0, Availability::gone)}});
+  hears(gateway, binary(12, 0xaa, {{208, std::string(1, 41)}}));
+}
+
+// A new machine may have the address of one that has gone, in one event and in either order.
+TEST_F(Program, ANewHostAtAnOldAddressIsAnotherServer) {
+  Fleet fleet;
+  Host old = host(listener, 0), fresh = old;
+  fresh.name = "s-new";
+  fresh.entry.started = Time{5};
+  fleet.apply({1, true, {old}});
+  old.entry.availability = Availability::gone;
+  for (const auto& hosts : {std::vector{old, fresh}, std::vector{fresh, old}}) {
+    Fleet each = fleet;
+    const auto change = each.apply({2, false, hosts});
+    ASSERT_EQ(change.list.entries.size(), 1u);
+    EXPECT_EQ(change.list.entries[0].availability, Availability::ready);
+    EXPECT_EQ(change.list.entries[0].started, Time{5});
+    EXPECT_EQ(change.replaced.size(), 1u);
+  }
+}
+
+// At the limit the connection that is idle makes room for the one that comes.
+TEST_F(Program, IdleCallersMakeRoomForNewOnes) {
+  front = std::make_unique<BinaryFront>(loop, log, *planner, any_port(), 2);
+  open_server();
+  Peer idle = caller(), busy = caller();
+  busy.say(setup(0xaa, "d"));
+  hears(server, "offer");
+  Peer next = caller();
+  next.say(binary(52, 7, {{208, std::string(1, 0)}}));
+  hears(next, binary(53, 7, {{208, "\x01"}}));
+  EXPECT_TRUE(idle.ended());
+  EXPECT_FALSE(busy.ended());
+}
+
+TEST_F(Program, TheCoordinatorsStreamIsTakenUpWhereItEnded) {
+  Listener at;
+  std::vector<std::uint64_t> told;
+  const Coordinator coordinator(loop, log, at.address(), 4,
+                                [&](const FleetNews& news) { told.push_back(news.index); });
+  const std::string event =
+      R"(data: {"index":5,"endpoints":{"hosts":[{"host":"a","dial":"127.0.0.1:9","health":"in_service"}]}})";
+  settle(3);
+  Peer first = at.accept();
+  hears(first, "Last-Event-ID: 4\r\n");
+  first.say("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n: hi\n\nid: 5\n" + event + "\n\n" +
+            "data: {\"ind");
+  until([&] { return told.size() == 1; }, "event 5");
+  first.close();
+  Peer second;
+  until([&] { return static_cast<bool>(second = at.accept()); }, "the next stream");
+  hears(second, "Last-Event-ID: 5\r\n");
+  // The same event again, in chunks, is not told twice.
+  const std::string again = event + "\n\n";
+  char size[16];
+  std::snprintf(size, sizeof size, "%zx\r\n", again.size());
+  second.say("HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n" + std::string(size) + again +
+             "\r\n3\r\n: x\r\n");
+  settle();
+  EXPECT_EQ(told, std::vector<std::uint64_t>{5});
+}
+
+TEST(Configuration, IsDecodedAndABadOneIsNamedInOneLine) {
+  const std::string good = R"({"name":"n3","listen":"127.0.0.1:5070","seed":"8c1f30d27a5be964",
+    "limits":{"sockets":512},"coordinator":"127.0.0.2:2379","known":{"index":3,"updates":[{"index":1,"endpoints":
+    {"whole":true,"hosts":[{"host":"a","dial":"127.0.0.1:9","health":"terminating","block":2,"born_ms":1796136168000}]}}]},
+    "settings":{"request_classes":[{"name":"voice","aim":800,"deadline":6000}]}})";
+  const Config config = parse_config(good);
+  EXPECT_EQ(config.seed, 0x8c1f30d27a5be964u);
+  EXPECT_EQ(config.sockets, 512u);
+  EXPECT_EQ(config.known.at(0).hosts.at(0).entry.started, Time{1796136168000000});
+  EXPECT_EQ(config.known.at(0).hosts.at(0).entry.availability, Availability::draining);
+  EXPECT_EQ(config.start.class_names.at(0), "voice");
+  for (const char* bad : {"", "{", "[]", "{\"listen\":1}", "{\"listen\":\"x\",\"coordinator\":\"y\"}"}) {
+    EXPECT_THROW(parse_config(bad), ConfigError) << bad;
+  }
+}
+
+TEST(ServerLines, AreReadWhateverTheirOrderAndMalformedOnesAreNot) {
+  const auto line = parse_server_line(
+      R"( {"with":{"load":"x0:12;x1:40;queue:3;util:0.5;new:1","x":[1,{}],"note":"swamped"},"why":34,"call":"00000000000000ff","op":"end"} )");
+  ASSERT_TRUE(line);
+  EXPECT_EQ(line->call, 255u);
+  EXPECT_EQ(line->why, 34);
+  EXPECT_EQ(line->note, "swamped");
+  EXPECT_EQ(parse_load(line->load).waiting, 3.0);
+  EXPECT_EQ(parse_load(line->load).free_circuits, 12.0);
+  EXPECT_EQ(parse_load("q:-1;busy:x").waiting, std::nullopt);
+  for (const char* bad :
+       {"", "{}", "x", R"({"op":"end"})", R"({"op":"end","call":"00000000000000ff"} x)",
+        R"({"op":"accept","call":"00000000000000ff","desc":"\ud800"})", R"({"op":"group)"}) {
+    EXPECT_FALSE(parse_server_line(bad)) << bad;
+  }
+  EXPECT_FALSE(parse_server_line("{\"op\":\"group\",\"x\":" + std::string(10000, '[')));
+}
+
+}  // namespace
+}  // namespace quartzarch::test
--- /dev/null
+++ b/tests/sip_test.cpp
@@ -0,0 +1,1 @@
+#include "loopback.hpp"
