Show by stand-in gateways that binary, UDP and TCP calls get the same outcomes

Written against failures that a SIP path invites: a retransmitted INVITE as a second attempt, a dropped TCP connection without its final answer, a 2xx without ACK, a BYE before the ACK, a CANCEL that crosses the answer.

--- a/tests/program_test.cpp
+++ b/tests/program_test.cpp
@@ -121,7 +121,8 @@
 TEST_F(Program, AMalformedMessageClosesItsConnectionOnly) {
   open_server();
   Peer good = caller(), bad = caller();
-  bad.say(std::string("\x00\x09\x01", 3) + "12345678" + std::string("\x00\x0b\x01", 3) + "12345678" + std::string("\xb4\x00", 2));
+  bad.say(std::string("\x00\x09\x01", 3) + "12345678" + std::string("\x00\x0b\x01", 3) + "12345678" +
+          std::string("\xb4\x00", 2));
   until([&] { return bad.ended(); }, "the close");
   good.say(setup(0xaa, "d"));
   hears(server, "offer");
--- a/tests/sip_test.cpp
+++ b/tests/sip_test.cpp
@@ -1,1 +1,377 @@
+// Stories of the SIP front with stand-in gateways and a stand-in setup server.
+#include "front/sip/front_config.hpp"
 #include "loopback.hpp"
+
+namespace quartzarch::test {
+namespace {
+
+using sip::TransportKind;
+
+class Sip : public Program {
+ protected:
+  Sip() {
+    sip::FrontConfig config;
+    config.udp = config.tcp = any_port();
+    config.default_class = "voice";
+    config.timers.t1 = milliseconds(20);
+    sip_front = std::make_unique<sip::SipFront>(loop, log, *planner, config, 7);
+    open_server();
+  }
+  Peer gateway(TransportKind kind) {
+    const auto to = sip_front->address(kind);
+    return kind == TransportKind::udp ? Peer::udp(to) : Peer::connect(to);
+  }
+  // A request as a gateway at `peer` sends it; `to_tag` inside a dialog.
+  static std::string request(const Peer& peer, TransportKind kind, const std::string& method, int cseq,
+                             const std::string& branch, const std::string& headers = {},
+                             const std::string& body = {}, const std::string& to_tag = {}) {
+    const std::string transport = kind == TransportKind::udp ? "UDP" : "TCP";
+    return method + " sip:7f3a9c21e0b4d655@lab SIP/2.0\r\nVia: SIP/2.0/" + transport + " " + peer.address() +
+           ";branch=z9hG4bK" + branch +
+           "\r\nMax-Forwards: 70\r\nFrom: <sip:gw@lab>;tag=g\r\nTo: <sip:7f@lab>" +
+           (to_tag.empty() ? "" : ";tag=" + to_tag) + "\r\nCall-ID: c1\r\nCSeq: " + std::to_string(cseq) +
+           " " + method + "\r\nContact: <sip:gw@" + peer.address() + ">\r\n" + headers +
+           "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+  }
+  static std::string invite(const Peer& peer, TransportKind kind, const std::string& headers = {}) {
+    return request(peer, kind, "INVITE", 1, "i1",
+                   "X-First-Choice: 0\r\nContent-Type: application/sdp\r\n" + headers, "v=0\r\n");
+  }
+  static std::string to_tag(const std::string& response) {
+    const auto at = response.rfind(";tag=", response.find("\r\nCall-ID", response.find("SIP/2.0 200")));
+    return response.substr(at + 5, response.find("\r\n", at) - at - 5);
+  }
+  // The id under which the server knows the call of the last offer.
+  std::string offered() {
+    hears(server, "\"op\":\"offer\"");
+    const auto at = server.heard().rfind("\"op\":\"offer\",\"call\":\"");
+    return server.heard().substr(at + 21, 16);
+  }
+  // A call that stands and is acknowledged; the tag of this side.
+  std::string stand(Peer& peer, TransportKind kind, std::string* call = nullptr) {
+    peer.say(invite(peer, kind));
+    const std::string id = offered();
+    if (call) *call = id;
+    server.say(line("accept", id, "\"desc\":\"s=1\\r\\n\""));
+    hears(peer, "s=1\r\n");
+    const std::string tag = to_tag(peer.take());
+    peer.say(request(peer, kind, "ACK", 1, "a1", {}, {}, tag));
+    settle(5);
+    peer.take();
+    server.take();
+    return tag;
+  }
+
+  std::unique_ptr<sip::SipFront> sip_front;
+};
+
+class SipOver : public Sip, public ::testing::WithParamInterface<TransportKind> {};
+INSTANTIATE_TEST_SUITE_P(Transports, SipOver, ::testing::Values(TransportKind::udp, TransportKind::tcp),
+                         [](const auto& each) { return each.param == TransportKind::udp ? "Udp" : "Tcp"; });
+
+// ---- The same outcomes by every way in
+
+struct Outcome {
+  std::string caller;  // what the caller is told
+  std::size_t offers;
+};
+
+// What the server does with each offer it gets, and what every caller must then be told.
+struct Script {
+  const char* name;
+  std::function<std::string(const std::string& call)> reply;
+  const char* call_class;
+  const char* outcome;
+  std::optional<std::size_t> offers{};  // absent: as many as there is time for
+};
+
+class Alike : public Sip, public ::testing::WithParamInterface<Script> {
+ protected:
+  // Plays the script for a call that has come in by `peer`; `finals` are what a final answer may look like.
+  Outcome play(Peer& peer, const std::map<std::string, std::string>& finals) {
+    std::size_t offers = 0;
+    std::string told;
+    until(
+        [&] {
+          const std::string& heard = server.heard();
+          for (auto at = heard.find("\"op\":\"offer\",\"call\":\""); at != std::string::npos;
+               at = heard.find("\"op\":\"offer\",\"call\":\"", at + 1)) {
+            ++offers;
+            const std::string call = heard.substr(at + 21, 16);
+            if (const auto reply = GetParam().reply(call); !reply.empty()) server.say(reply);
+          }
+          server.take();
+          for (const auto& [bytes, meaning] : finals) {
+            if (peer.heard().find(bytes) != std::string::npos) told = meaning;
+          }
+          return !told.empty();
+        },
+        "the final answer");
+    return {told, offers};
+  }
+  static void expect(const Outcome& outcome) {
+    EXPECT_EQ(outcome.caller, GetParam().outcome);
+    if (GetParam().offers) {
+      EXPECT_EQ(outcome.offers, *GetParam().offers);
+    }
+  }
+  Outcome by_binary() {
+    Peer peer = caller();
+    peer.say(binary(1, 0xb1,
+                    {{180, GetParam().call_class},
+                     {182, "1000"},
+                     {188, "7f3a9c21e0b4d655"},
+                     {190, "dest:0"},
+                     {210, "v=0\r\n"}}));
+    const auto release = [](char cause) {
+      return binary(12, 0xb1, {{208, std::string(1, cause)}}).substr(2);
+    };
+    return play(peer, {{binary(9, 0xb1, {{210, "s=1\r\n"}}), "stands"},
+                       {release(42), "refused"},
+                       {release(41), "failed"},
+                       {release(18), "timed out"}});
+  }
+  Outcome by_sip(TransportKind kind) {
+    Peer peer = gateway(kind);
+    const std::string call_class = std::string("X-Call-Class: ") + GetParam().call_class + "\r\n";
+    peer.say(invite(peer, kind, call_class + "Expires: 1\r\n"));
+    const Outcome outcome = play(peer, {{"SIP/2.0 200", "stands"},
+                                        {"SIP/2.0 503", "refused"},
+                                        {"SIP/2.0 500", "failed"},
+                                        {"SIP/2.0 504", "timed out"}});
+    EXPECT_EQ(peer.heard().find("SIP/2.0 100 Trying"), 0u);
+    const auto has = [&](const char* text) { return peer.heard().find(text) != std::string::npos; };
+    EXPECT_EQ(has("\r\n\r\ns=1\r\n"), outcome.caller == "stands");
+    EXPECT_EQ(has("\r\nRetry-After: "), outcome.caller == "refused");
+    return outcome;
+  }
+};
+
+TEST_P(Alike, Binary) { expect(by_binary()); }
+TEST_P(Alike, Udp) { expect(by_sip(TransportKind::udp)); }
+TEST_P(Alike, Tcp) { expect(by_sip(TransportKind::tcp)); }
+
+std::string reply(const std::string& op, const std::string& call, const std::string& rest,
+                  const std::string& with = {}) {
+  return "{\"op\":\"" + op + "\",\"call\":\"" + call + "\",\"with\":{" + with + "}," + rest + "}\n";
+}
+INSTANTIATE_TEST_SUITE_P(
+    Scripts, Alike,
+    ::testing::Values(
+        Script{"Answered", [](auto& c) { return reply("accept", c, "\"desc\":\"s=1\\r\\n\""); }, "voice",
+               "stands", 1},
+        Script{"Full", [](auto& c) { return reply("end", c, "\"why\":34", "\"note\":\"swamped\""); }, "voice",
+               "refused", 1},
+        Script{"Busy", [](auto& c) { return reply("end", c, "\"why\":17", "\"note\":\"occupied\""); },
+               "voice", "failed", 1},
+        Script{"Reset", [](auto& c) { return reply("end", c, "\"why\":41"); }, "voice", "failed"},
+        Script{"Silent", [](auto&) { return std::string(); }, "voice", "timed out", 1},
+        Script{"UnknownClass", [](auto&) { return std::string(); }, "no-such", "failed", 0}),
+    [](const auto& each) { return each.param.name; });
+
+// ---- Transactions and dialogs
+
+TEST_P(SipOver, ARetransmittedInviteNeverBecomesASecondAttempt) {
+  Peer peer = gateway(GetParam());
+  const std::string first = invite(peer, GetParam());
+  peer.say(first);
+  const std::string call = offered();
+  peer.say(first);
+  until([&] { return count(peer.heard(), "SIP/2.0 100") == 2; }, "a second 100");
+  server.say(line("accept", call, "\"desc\":\"s\""));
+  hears(peer, "SIP/2.0 200");
+  peer.say(first);  // and after the answer
+  until([&] { return count(peer.heard(), "SIP/2.0 200") >= 2; }, "the answer again");
+  EXPECT_EQ(count(server.heard(), "offer"), 1u);
+  // The same call by another way is no second call either.
+  Peer other = gateway(GetParam());
+  other.say(invite(other, GetParam()));
+  hears(other, "SIP/2.0 482");
+  EXPECT_EQ(count(server.heard(), "offer"), 1u);
+}
+
+TEST_P(SipOver, TheAnswerIsRepeatedUntilTheAckAndWithoutOneTheCallIsEnded) {
+  Peer peer = gateway(GetParam());
+  peer.say(invite(peer, GetParam()));
+  const std::string call = offered();
+  server.say(line("accept", call, "\"desc\":\"s\""));
+  until([&] { return count(peer.heard(), "SIP/2.0 200") >= 3; }, "repeated answers");
+  if (GetParam() == TransportKind::tcp) peer.say("");  // the Contact of a TCP gateway here listens nowhere
+  hears(server, "{\"op\":\"end\",\"call\":\"" + call + "\"");
+  if (GetParam() == TransportKind::udp) hears(peer, "BYE sip:");
+}
+
+TEST_P(SipOver, AnAckStopsTheAnswerAndAByeEndsTheCall) {
+  Peer peer = gateway(GetParam());
+  std::string call;
+  const std::string tag = stand(peer, GetParam(), &call);
+  settle(80);
+  EXPECT_EQ(peer.heard(), "") << "the answer was repeated after its ACK";
+  peer.say(request(peer, GetParam(), "BYE", 2, "b1", {}, {}, tag));
+  hears(peer, "SIP/2.0 200");
+  hears(server, "{\"op\":\"end\",\"call\":\"" + call + "\"");
+  peer.say(request(peer, GetParam(), "BYE", 3, "b2", {}, {}, tag));
+  hears(peer, "SIP/2.0 481");
+}
+
+TEST_F(Sip, TheServersReleaseBecomesAByeThatIsRepeatedUntilItsResponse) {
+  Peer peer = gateway(TransportKind::udp);
+  std::string call;
+  const std::string tag = stand(peer, TransportKind::udp, &call);
+  server.say(line("end", call, "\"why\":16"));
+  until([&] { return count(peer.heard(), "BYE sip:gw@") >= 2; }, "a repeated BYE");
+  const std::string bye = peer.take();
+  EXPECT_NE(bye.find("From: <sip:7f@lab>;tag=" + tag), std::string::npos);
+  EXPECT_NE(bye.find("To: <sip:gw@lab>;tag=g\r\n"), std::string::npos);
+  const auto via = bye.find("Via: ");
+  peer.say("SIP/2.0 200 OK\r\n" + bye.substr(via, bye.find("Max-Forwards") - via) + "\r\n");
+  until([&] { return sip_front->idle(); }, "the end of the BYE");
+}
+
+// RFC 3261, section 15: the callee waits with its BYE until the dialog is confirmed.
+TEST_F(Sip, ACallOverBeforeItsAckIsEndedAfterIt) {
+  Peer peer = gateway(TransportKind::udp);
+  peer.say(invite(peer, TransportKind::udp));
+  const std::string call = offered();
+  server.say(line("accept", call, "\"desc\":\"s\"") + line("end", call, "\"why\":41"));
+  hears(peer, "SIP/2.0 200");
+  settle(5);
+  EXPECT_EQ(count(peer.heard(), "BYE sip:"), 0u);
+  peer.say(request(peer, TransportKind::udp, "ACK", 1, "a1", {}, {}, to_tag(peer.heard())));
+  hears(peer, "BYE sip:");
+}
+
+TEST_P(SipOver, ACancelEndsTheInviteAndTheAttempt) {
+  Peer peer = gateway(GetParam());
+  peer.say(invite(peer, GetParam()));
+  const std::string call = offered();
+  std::string cancel = request(peer, GetParam(), "CANCEL", 1, "i1");
+  peer.say(cancel);
+  hears(peer, "SIP/2.0 487");
+  EXPECT_NE(peer.heard().find("SIP/2.0 200"), std::string::npos);
+  hears(server, "{\"op\":\"end\",\"call\":\"" + call + "\"");
+  server.say(line("accept", call, "\"desc\":\"s\""));
+  settle();
+  EXPECT_EQ(count(peer.heard(), "\r\nCSeq: 1 INVITE"),
+            count(peer.heard(), "SIP/2.0 100") + count(peer.heard(), "SIP/2.0 487"));
+}
+
+// 18.2.2: the final answer goes to where the Via says if the connection of the INVITE is gone.
+TEST_F(Sip, ATcpConnectionThatDropsLeavesOneFinalAnswer) {
+  Listener home;
+  Peer peer = gateway(TransportKind::tcp);
+  std::string first = invite(peer, TransportKind::tcp);
+  const auto via = first.find(peer.address());
+  first.replace(via, peer.address().size(), address_text(home.address()));
+  peer.say(first);
+  const std::string call = offered();
+  peer.reset();
+  settle();
+  EXPECT_EQ(count(server.heard(), "\"op\":\"end\""), 0u) << "the drop gave the call up";
+  server.say(reply("end", call, "\"why\":17", "\"note\":\"occupied\""));
+  Peer back;
+  until([&] { return static_cast<bool>(back = home.accept()); }, "a connection to the Via's address");
+  hears(back, "SIP/2.0 500");
+  back.say(request(back, TransportKind::tcp, "OPTIONS", 9, "o1"));  // it is a connection like any other
+  hears(back, "SIP/2.0 200");
+  EXPECT_EQ(count(back.heard(), "SIP/2.0 500"), 1u);
+}
+
+TEST_F(Sip, AFailureIsRepeatedOverUdpUntilItsAck) {
+  Peer peer = gateway(TransportKind::udp);
+  peer.say(invite(peer, TransportKind::udp, "X-Call-Class: no-such\r\n"));
+  until([&] { return count(peer.heard(), "SIP/2.0 500") >= 2; }, "a repeated failure");
+  peer.say(request(peer, TransportKind::udp, "ACK", 1, "i1", {}, {}, "x"));
+  settle(5);
+  peer.take();
+  settle(100);
+  EXPECT_EQ(peer.heard(), "");
+}
+
+TEST_F(Sip, WhatCannotBeServedIsAnsweredAsTheRfcAsks) {
+  const auto kind = TransportKind::udp;
+  Peer peer = gateway(kind);
+  const auto answers = [&](const std::string& bytes, const std::string& status) {
+    peer.take();
+    peer.say(bytes);
+    hears(peer, "SIP/2.0 " + status);
+  };
+  answers(request(peer, kind, "OPTIONS", 1, "1"), "200");
+  EXPECT_NE(peer.heard().find("Allow: INVITE, ACK, CANCEL, BYE, OPTIONS"), std::string::npos);
+  answers(request(peer, kind, "REGISTER", 1, "2"), "405");
+  answers(request(peer, kind, "JUMP", 1, "3"), "501");
+  answers(request(peer, kind, "BYE", 1, "4", {}, {}, "nobody"), "481");
+  answers(request(peer, kind, "CANCEL", 1, "5"), "481");
+  answers(request(peer, kind, "INVITE", 1, "6", "Require: 100rel\r\n"), "420");
+  EXPECT_NE(peer.heard().find("Unsupported: 100rel"), std::string::npos);
+  answers(request(peer, kind, "INVITE", 1, "7", "Content-Type: text/plain\r\n", "x"), "415");
+  const auto changed = [&](const std::string& branch, const std::string& from, const std::string& to) {
+    std::string bytes = request(peer, kind, "INVITE", 1, branch);
+    return bytes.replace(bytes.find(from), from.size(), to);
+  };
+  answers(changed("8", "sip:7f3a", "http:7f3a"), "416");
+  answers(changed("9", "SIP/2.0\r\n", "SIP/3.0\r\n"), "505");
+  answers(changed("10", "CSeq: 1 INVITE", "CSeq: one"), "400");
+  answers(changed("11", "sip:7f3a9c21e0b4d655@", "sip:"), "484");
+  EXPECT_EQ(server.heard(), "");
+}
+
+TEST_F(Sip, MessagesOnAStreamAreFramedByTheirLengthAndMalformedOnesCloseIt) {
+  Peer peer = gateway(TransportKind::tcp);
+  const std::string two = "\r\n\r\n" +
+                          request(peer, TransportKind::tcp, "OPTIONS", 1, "1", {}, "body\r\n\r\n") +
+                          request(peer, TransportKind::tcp, "OPTIONS", 2, "2");
+  peer.say(two.substr(0, two.size() - 9));
+  hears(peer, "CSeq: 1 OPTIONS");
+  peer.say(two.substr(two.size() - 9));
+  hears(peer, "CSeq: 2 OPTIONS");
+  peer.say("NONSENSE\r\n\r\n");
+  until([&] { return peer.ended(); }, "the close");
+}
+
+// At the stop nothing of a dialog outlives the process: its calls are ended on both sides.
+TEST_F(Sip, HangingUpEndsEveryCallOnBothSides) {
+  Peer peer = gateway(TransportKind::udp);
+  std::string call;
+  stand(peer, TransportKind::udp, &call);
+  sip_front->hang_up();
+  hears(peer, "BYE sip:");
+  hears(server, "{\"op\":\"end\",\"call\":\"" + call + "\"");
+  EXPECT_EQ(sip_front->dialogs(), 0u);
+}
+
+TEST(SipMessage, CompactFormsAndFoldedLinesAreRead) {
+  const std::string head =
+      "INVITE sip:1@h SIP/2.0\r\nv: SIP/2.0/UDP a;branch=z9hG4bKx, SIP/2.0/TCP b:99;branch=z9hG4bKy\r\n"
+      "f: \"A, \\\"B\\\"\" <sip:a@b;x=1>;tag=t\r\nt:\r\n <sip:1@h>\r\ni: id\r\ncseq:  7   INVITE\r\n"
+      "Subject: one\r\n\ttwo\r\nl: 0\r\n\r\n";
+  ASSERT_EQ(sip::head_length(head), head.size());
+  EXPECT_EQ(sip::content_length(head), 0);
+  const auto message = sip::Message::parse(head, "");
+  ASSERT_TRUE(message);
+  ASSERT_EQ(message->values("Via").size(), 2u);
+  EXPECT_EQ(sip::parse_via(message->values("Via")[1])->port, 99);
+  EXPECT_EQ(sip::tag_of(message->header("From")), "t");
+  EXPECT_EQ(sip::uri_of(message->header("From")), "sip:a@b;x=1");
+  EXPECT_EQ(message->header("To"), "<sip:1@h>");
+  EXPECT_EQ(message->header("Subject"), "one two");
+  EXPECT_EQ(sip::parse_cseq(message->header("CSeq"))->number, 7u);
+  for (std::size_t size = 0; size < head.size(); ++size) {
+    EXPECT_FALSE(sip::Message::parse(std::string_view(head).substr(0, size), "") && size < head.size() - 2)
+        << size;
+  }
+}
+
+TEST(SipConfiguration, IsDecodedAndABadOneIsNamed) {
+  const auto config =
+      sip::parse_front_config("udp = \"127.0.0.1:5060\"\nt1_ms = 20\ndefault_class = \"voice\"\n");
+  EXPECT_TRUE(config.udp);
+  EXPECT_FALSE(config.tcp);
+  EXPECT_EQ(config.timers.t1, milliseconds(20));
+  for (const char* bad : {"", "udp = 1", "udp = \"x\"", "udp = ", "udp = \"127.0.0.1:1\"\nt1_ms = 0"}) {
+    EXPECT_THROW(sip::parse_front_config(bad), ConfigError) << bad;
+  }
+}
+
+}  // namespace
+}  // namespace quartzarch::test
