Tell refused callers when to come back

Seen: every refusal went out without a time, on both fronts. src/controller.cpp finish() gave none. Now it is the time until a server that the call may go to opens, at least 100 ms, at most what callers heed.

--- a/src/controller.cpp
+++ b/src/controller.cpp
@@ -71,6 +71,8 @@
 constexpr double kLateShareOfAim = 0.25;
 // A pool without a free line is tried again after this, news or no news: lines fall free all the time.
 constexpr Duration kLinesKnownFor = milliseconds(300);
+// A refused caller is asked to stay away for at least this.
+constexpr Duration kLeastAway = milliseconds(100);
 // An aim of nought would leave no scale to judge a set-up by.
 constexpr Duration kLeastAim = milliseconds(1);
 
@@ -716,13 +718,23 @@
     add(SendSetup{call.asked.call, server.entry.id, {}});
   }
 
+  // When to come back: as soon as a server that the call may go to opens, by what is known now.
+  std::optional<Duration> stay_away(const Call& call) const {
+    if (settings_.longest_stay_away <= Duration{0}) return std::nullopt;
+    Duration away = settings_.longest_stay_away;
+    for (const auto& [id, server] : servers_) {
+      if (open_to(call, server)) away = std::min(away, opens_at(server) - now_);
+    }
+    return std::max(away, kLeastAway);
+  }
+
   // The one final answer to a call that does not stand.
   void finish(CallId id) {
     const Call& call = calls_.at(id);
     if (call.may_have_run) {
       add(Fail{id});
     } else {
-      add(Refuse{id, {}});
+      add(Refuse{id, stay_away(call)});
     }
     calls_.erase(id);
   }
