--- a/src/config.cpp
+++ b/src/config.cpp
@@ -1,6 +1,7 @@
 #include "config.hpp"
 
 #include <arpa/inet.h>
+#include <toml++/toml.h>
 
 #include <algorithm>
 #include <charconv>
@@ -124,12 +125,31 @@
   }
 }
 
-Config read_config(const std::string& path) {
+std::string read_file(const std::string& path) {
   std::ifstream file(path);
   if (!file) throw ConfigError("cannot be opened");
   std::ostringstream text;
   text << file.rdbuf();
-  return parse_config(text.str());
+  return text.str();
+}
+
+std::vector<sockaddr_in> parse_levels(std::string_view toml) {
+  std::vector<sockaddr_in> planners;
+  try {
+    const toml::table table = toml::parse(toml);
+    const auto* const list = table["planners"].as_array();
+    if (!list || list->empty()) throw ConfigError("\"planners\" names no address");
+    for (const auto& entry : *list) {
+      const auto parsed = address(entry.value_or(std::string()), "planners");
+      // The link is not protected in any way, so it never leaves the machine.
+      if (ntohl(parsed.sin_addr.s_addr) >> 24 != 127)
+        throw ConfigError("a planner's address is off loopback");
+      planners.push_back(parsed);
+    }
+  } catch (const toml::parse_error& error) {
+    throw ConfigError("no TOML: " + std::string(error.description()));
+  }
+  return planners;
 }
 
 }  // namespace quartzarch
--- a/src/config.hpp
+++ b/src/config.hpp
@@ -29,7 +29,11 @@
 
 // Throws ConfigError with one plain line.
 Config parse_config(std::string_view json);
-Config read_config(const std::string& path);
+// A file's text; throws ConfigError if it cannot be read.
+std::string read_file(const std::string& path);
+
+// The loopback addresses of the planners, from a file like deploy/levels.toml.
+std::vector<sockaddr_in> parse_levels(std::string_view toml);
 
 // One event of the coordinator. Throws ConfigError if it is malformed.
 FleetNews parse_news(std::string_view json);
--- a/src/front/sip/front_config.cpp
+++ b/src/front/sip/front_config.cpp
@@ -2,8 +2,6 @@
 
 #include <toml++/toml.h>
 
-#include <fstream>
-#include <sstream>
 
 namespace quartzarch::sip {
 namespace {
@@ -47,12 +45,4 @@
   return config;
 }
 
-FrontConfig read_front_config(const std::string& path) {
-  std::ifstream file(path);
-  if (!file) throw ConfigError("cannot be opened");
-  std::ostringstream text;
-  text << file.rdbuf();
-  return parse_front_config(text.str());
-}
-
 }  // namespace quartzarch::sip
--- a/src/front/sip/front_config.hpp
+++ b/src/front/sip/front_config.hpp
@@ -10,6 +10,5 @@
 
 // Throws ConfigError with one plain line.
 FrontConfig parse_front_config(std::string_view toml);
-FrontConfig read_front_config(const std::string& path);
 
 }  // namespace quartzarch::sip
--- /dev/null
+++ b/src/link/port.hpp
@@ -0,0 +1,63 @@
+// A planner's side of the link: to its core this is a front like any other.
+#pragma once
+
+#include <deque>
+#include <map>
+#include <memory>
+#include <set>
+#include <unordered_map>
+
+#include "core/calls.hpp"
+#include "link/message.hpp"
+#include "log.hpp"
+
+namespace quartzarch::link {
+
+class Port : public Front, private Watched, private Stream::Owner {
+ public:
+  // Throws std::system_error if the address cannot be listened on.
+  Port(Loop& loop, Logger& log, Core& core, const sockaddr_in& listen);
+  ~Port() override;
+
+  sockaddr_in address() const { return bound_address(listener_); }
+  bool idle() const;
+  // Tells the forwarders whether calls may come, where that has changed.
+  void tell_state();
+  // From now on new calls are to go to other planners; what comes all the same is served.
+  void stop() { stopping_ = true; }
+
+  void answer(CallId call, std::string description) override;
+  void refuse(CallId call, std::optional<Duration> stay_away) override;
+  void fail(CallId call, Failure why) override;
+  void over(CallId call, int cause) override;
+
+ private:
+  struct Forwarder {
+    std::shared_ptr<Stream> stream{};
+    std::set<CallId> open{};
+  };
+
+  int descriptor() const override { return listener_.get(); }
+  short interest() const override { return POLLIN; }
+  void ready(short events) override;
+  void arrived(Stream& stream) override;
+  void lost(Stream& stream, Lost how) override;
+
+  bool take(Forwarder& from, const LinkMessage& message);
+  Forwarder* owner_of(CallId call);
+  void settle(CallId call, Segment segment, bool stands);
+  bool takes_calls() const { return core_.ready() && !stopping_; }
+  Segment state() const;
+
+  Loop& loop_;
+  Logger& log_;
+  Core& core_;
+  Fd listener_;
+  std::map<const Stream*, Forwarder> forwarders_;
+  std::unordered_map<CallId, const Stream*> calls_;
+  std::deque<Segment> homeless_;  // ends of calls while no forwarder is connected
+  bool told_ready_ = false;
+  bool stopping_ = false;
+};
+
+}  // namespace quartzarch::link
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -2,14 +2,18 @@
 #include <sys/signalfd.h>
 #include <sys/socket.h>
 
+#include <charconv>
 #include <csignal>
 #include <cstdlib>
 #include <exception>
+#include <functional>
 
 #include "config.hpp"
 #include "core/planner.hpp"
 #include "front/binary.hpp"
 #include "front/sip/front_config.hpp"
+#include "link/planners.hpp"
+#include "link/port.hpp"
 #include "net/coordinator.hpp"
 #include "net/loop.hpp"
 
@@ -53,35 +57,165 @@
   std::optional<Time> came_{};
 };
 
-int serve(Logger& log, const Config& config, const std::optional<sip::FrontConfig>& sip_config) {
-  Loop loop;
-  StopSignal stop(loop);
+struct Options {
+  const char* sip = nullptr;     // the SIP front's file
+  const char* levels = nullptr;  // the planners' addresses
+  std::optional<std::size_t> planner{};
+  bool forwarder = false;
+};
+
+// A file is named while it is read, for the one line that tells of a bad one.
+struct Files {
+  const char* reading = "";
+  std::string read(const char* path) {
+    reading = path;
+    return read_file(path);
+  }
+};
+
+// Serves until it was told to stop and nothing is owed any more.
+class Service {
+ public:
+  Service(Loop& loop, Logger& log) : loop_(loop), log_(log), stop_(loop) {}
+
+  void run(const std::function<std::size_t()>& owed, const std::function<bool()>& idle,
+           const std::function<void(bool stopping)>& each_pass) {
+    for (bool told = false;;) {
+      loop_.pass(stop_.came() ? milliseconds(20) : milliseconds(1000));
+      each_pass(stop_.came().has_value());
+      if (!stop_.came()) continue;
+      if (!std::exchange(told, true)) log_.line("stopping: %zu calls owe their answer", owed());
+      if (loop_.now() - *stop_.came() >= kLastArrivals && owed() == 0 && idle()) break;
+    }
+  }
+
+ private:
+  Loop& loop_;
+  Logger& log_;
+  StopSignal stop_;
+};
+
+// The fronts of a process: on a planner of its own or on several by the link.
+class Fronts {
+ public:
+  Fronts(Loop& loop, Logger& log, Core& core, const Config& config,
+         const std::optional<sip::FrontConfig>& sip)
+      : loop_(loop), binary_(loop, log, core, config.listen, config.sockets / 2) {
+    if (sip) sip_.emplace(loop, log, core, *sip, config.seed + 1);
+  }
+  Front& strays() { return binary_; }
+  bool idle() const { return binary_.idle(); }
+  // Nothing of a dialog outlives the process, so its calls are ended; on the platform's protocol they go on.
+  void hang_up() {
+    if (!sip_) return;
+    sip_->hang_up();
+    for (const Time until = loop_.now() + kLastByes; !sip_->idle() && loop_.now() < until;) {
+      loop_.pass(milliseconds(20));
+    }
+  }
+
+ private:
+  Loop& loop_;
+  BinaryFront binary_;
+  std::optional<sip::SipFront> sip_{};
+};
+
+void serve_alone(Loop& loop, Logger& log, const Config& config, const std::optional<sip::FrontConfig>& sip) {
+  Service service(loop, log);
   Planner planner(loop, log, config.start, config.seed);
   for (const FleetNews& news : config.known) planner.news(news);
-  BinaryFront front(loop, log, planner, config.listen, config.sockets / 2);
-  planner.strays_to(front);
-  std::optional<sip::SipFront> sip_front;
-  if (sip_config) sip_front.emplace(loop, log, planner, *sip_config, config.seed + 1);
+  Fronts fronts(loop, log, planner, config, sip);
+  planner.strays_to(fronts.strays());
   const Coordinator coordinator(loop, log, config.coordinator, config.known_index,
                                 [&planner](const FleetNews& news) { planner.news(news); });
   log.line("%s: serving at %s", config.name.c_str(), address_text(config.listen).c_str());
-  bool told = false, hung_up = false;
-  Time patience{};
-  for (;;) {
-    loop.pass(stop.came() ? milliseconds(20) : milliseconds(1000));
-    if (!stop.came()) continue;
-    if (!std::exchange(told, true)) log.line("stopping: %zu calls owe their answer", planner.owed());
-    if (loop.now() - *stop.came() < kLastArrivals || planner.owed() > 0 || !front.idle()) continue;
-    // Nothing of a dialog outlives the process, so its calls are ended; on the platform's protocol they go
-    // on.
-    if (sip_front && !std::exchange(hung_up, true)) {
-      sip_front->hang_up();
-      patience = loop.now() + kLastByes;
+  service.run([&] { return planner.owed(); }, [&] { return fronts.idle(); }, [](bool) {});
+  fronts.hang_up();
+}
+
+// One of several planners: each is an instance of its own among those of all call controllers.
+void serve_as_planner(Loop& loop, Logger& log, Config config, const std::vector<sockaddr_in>& planners,
+                      std::size_t index) {
+  Settings& settings = config.start.settings;
+  settings.rank = settings.rank * static_cast<unsigned>(planners.size()) + static_cast<unsigned>(index);
+  settings.instances *= static_cast<unsigned>(planners.size());
+  Service service(loop, log);
+  Planner planner(loop, log, config.start, config.seed + index);
+  for (const FleetNews& news : config.known) planner.news(news);
+  link::Port port(loop, log, planner, planners[index]);
+  planner.strays_to(port);
+  const Coordinator coordinator(loop, log, config.coordinator, config.known_index,
+                                [&planner](const FleetNews& news) { planner.news(news); });
+  log.line("%s: planner %zu of %zu at %s", config.name.c_str(), index, planners.size(),
+           address_text(planners[index]).c_str());
+  service.run([&] { return planner.owed(); }, [&] { return port.idle(); },
+              [&](bool stopping) {
+                if (stopping) port.stop();
+                port.tell_state();
+              });
+}
+
+void serve_as_forwarder(Loop& loop, Logger& log, const Config& config,
+                        const std::optional<sip::FrontConfig>& sip,
+                        const std::vector<sockaddr_in>& addresses) {
+  Service service(loop, log);
+  link::Planners planners(loop, log, addresses);
+  Fronts fronts(loop, log, planners, config, sip);
+  planners.strays_to(fronts.strays());
+  log.line("%s: forwarding at %s to %zu planners", config.name.c_str(), address_text(config.listen).c_str(),
+           addresses.size());
+  service.run([&] { return planners.owed(); }, [&] { return fronts.idle(); }, [](bool) {});
+  fronts.hang_up();
+}
+
+std::optional<Options> parse_options(int argc, char** argv) {
+  Options options;
+  for (int i = 1; i < argc; ++i) {
+    const std::string_view name = argv[i];
+    const char* const value = i + 1 < argc ? argv[i + 1] : nullptr;
+    if (name == "--forwarder") {
+      options.forwarder = true;
+      continue;
     }
-    if (!sip_front || sip_front->idle() || loop.now() >= patience) break;
+    if (!value) return std::nullopt;
+    ++i;
+    if (name == "--sip") {
+      options.sip = value;
+    } else if (name == "--levels") {
+      options.levels = value;
+    } else if (name == "--planner") {
+      std::size_t index = 0;
+      const char* const end = value + std::string_view(value).size();
+      if (std::from_chars(value, end, index).ptr != end || end == value) return std::nullopt;
+      options.planner = index;
+    } else {
+      return std::nullopt;
+    }
+  }
+  const bool role = options.forwarder || options.planner.has_value();
+  if (options.forwarder && options.planner) return std::nullopt;
+  if (role != (options.levels != nullptr) || (options.planner && options.sip)) return std::nullopt;
+  return options;
+}
+
+void serve(Logger& log, Files& files, const char* config_path, const Options& options) {
+  const Config config = parse_config(files.read(config_path));
+  std::optional<sip::FrontConfig> sip;
+  if (options.sip) sip = sip::parse_front_config(files.read(options.sip));
+  std::vector<sockaddr_in> planners;
+  if (options.levels) planners = parse_levels(files.read(options.levels));
+  if (options.planner && *options.planner >= planners.size()) {
+    throw ConfigError("there is no planner " + std::to_string(*options.planner));
+  }
+  Loop loop;
+  if (options.planner) {
+    serve_as_planner(loop, log, config, planners, *options.planner);
+  } else if (options.forwarder) {
+    serve_as_forwarder(loop, log, config, sip, planners);
+  } else {
+    serve_alone(loop, log, config, sip);
   }
   log.line("stopped");
-  return 0;
 }
 
 }  // namespace
@@ -89,27 +223,22 @@
 int main(int argc, char** argv) {
   std::signal(SIGPIPE, SIG_IGN);
   Logger log;
+  const auto options = parse_options(argc, argv);
+  if (!options) {
+    log.line("usage: quartzarch [--sip FILE] [--levels FILE (--forwarder | --planner N)]");
+    return 2;
+  }
   const char* const path = std::getenv("NODE_CONFIG");
   if (!path) {
     log.line("configuration: NODE_CONFIG names no file");
     return 2;
   }
-  const bool with_sip = argc == 3 && std::string_view(argv[1]) == "--sip";
-  if (argc != 1 && !with_sip) {
-    log.line("usage: quartzarch [--sip FILE]");
-    return 2;
-  }
-  const char* reading = path;
+  Files files;
   try {
-    const Config config = read_config(path);
-    std::optional<sip::FrontConfig> sip_config;
-    if (with_sip) {
-      reading = argv[2];
-      sip_config = sip::read_front_config(reading);
-    }
-    return serve(log, config, sip_config);
+    serve(log, files, path, *options);
+    return 0;
   } catch (const ConfigError& error) {
-    log.line("configuration: %s: %s", reading, error.what());
+    log.line("configuration: %s: %s", files.reading, error.what());
     return 2;
   } catch (const std::exception& error) {
     log.line("fatal: %s", error.what());
