--- a/src/front/sip/front.cpp
+++ b/src/front/sip/front.cpp
@@ -37,7 +37,7 @@
       config_(std::move(config)),
       random_(seed),
       transactions_(loop, log, config_.timers, *this, config_.most_transactions),
-      transport_(loop, log, config_.udp, config_.tcp, config_.most_connections,
+      transport_(loop, log, config_.listening, config_.most_connections,
                  [this](const Message& message, const Hop& from) { transactions_.receive(message, from); }) {
   transactions_.use(transport_);
 }
@@ -56,8 +56,10 @@
 }
 
 std::string SipFront::contact(TransportKind kind) const {
-  return "Contact: <sip:" + address_text(transport_.local(kind)) +
-         (kind == TransportKind::udp ? ">\r\n" : ";transport=tcp>\r\n");
+  const char* const transport = kind == TransportKind::udp   ? ""
+                                : kind == TransportKind::tcp ? ";transport=tcp"
+                                                             : ";transport=tls";
+  return "Contact: <sip:" + address_text(transport_.local(kind)) + transport + ">\r\n";
 }
 
 // ---- Requests
@@ -306,13 +308,13 @@
   const CallId call = dialog.call;
   Hop to = dialog.hop;
   const auto uri = parse_uri(dialog.first_hop);
-  const std::string port = std::to_string(uri && uri->port != 0 ? uri->port : 5060);
-  const auto address = uri ? parse_address(std::string(uri->host) + ":" + port) : std::nullopt;
-  if (address) {
-    to.address = *address;
-    if (same_word(uri->transport, "tcp")) to.kind = TransportKind::tcp;
-    if (same_word(uri->transport, "udp")) to.kind = TransportKind::udp;
-    if (to.kind != dialog.hop.kind) to.connection = 0;
+  TransportKind kind = to.kind;
+  if (uri && same_word(uri->transport, "udp")) kind = TransportKind::udp;
+  if (uri && same_word(uri->transport, "tcp")) kind = TransportKind::tcp;
+  if (uri && (same_word(uri->transport, "tls") || same_word(uri->scheme, "sips"))) kind = TransportKind::tls;
+  const std::string port = std::to_string(uri && uri->port != 0 ? uri->port : default_port(kind));
+  if (const auto address = uri ? parse_address(std::string(uri->host) + ":" + port) : std::nullopt) {
+    to = {kind, *address, kind == to.kind ? to.connection : 0};
   }
   const std::string reason =
       dialog.over ? "Reason: Q.850;cause=" + std::to_string(*dialog.over) + "\r\n" : "";
--- a/src/front/sip/front.hpp
+++ b/src/front/sip/front.hpp
@@ -11,7 +11,7 @@
 namespace quartzarch::sip {
 
 struct FrontConfig {
-  std::optional<sockaddr_in> udp{}, tcp{};
+  Listening listening{};
   std::string default_class{};  // of an INVITE that names none
   Timers timers{};
   std::size_t most_connections = 256;
@@ -20,7 +20,7 @@
 
 class SipFront : public Front, private Transactions::User {
  public:
-  // Throws std::system_error if an address cannot be listened on.
+  // Throws std::runtime_error if an address cannot be listened on or the certificate is bad.
   SipFront(Loop& loop, Logger& log, Core& core, FrontConfig config, std::uint64_t seed);
   ~SipFront() override;
 
--- a/src/front/sip/front_config.cpp
+++ b/src/front/sip/front_config.cpp
@@ -2,7 +2,6 @@
 
 #include <toml++/toml.h>
 
-
 namespace quartzarch::sip {
 namespace {
 
@@ -29,8 +28,11 @@
   FrontConfig config;
   try {
     const toml::table table = toml::parse(toml);
-    config.udp = address(table, "udp");
-    config.tcp = address(table, "tcp");
+    config.listening.udp = address(table, "udp");
+    config.listening.tcp = address(table, "tcp");
+    config.listening.tls = address(table, "tls");
+    config.listening.tls_certificate = value<std::string>(table, "tls_certificate").value_or("");
+    config.listening.tls_ca = value<std::string>(table, "tls_ca").value_or("");
     config.default_class = value<std::string>(table, "default_class").value_or("");
     const auto connections = value<std::int64_t>(table, "connections").value_or(256);
     const auto t1 = value<std::int64_t>(table, "t1_ms").value_or(500);
@@ -41,7 +43,9 @@
   } catch (const toml::parse_error& error) {
     throw ConfigError("no TOML: " + std::string(error.description()));
   }
-  if (!config.udp && !config.tcp) throw ConfigError("neither \"udp\" nor \"tcp\" is given");
+  const Listening& at = config.listening;
+  if (!at.udp && !at.tcp && !at.tls) throw ConfigError("none of \"udp\", \"tcp\" and \"tls\" is given");
+  if (at.tls && at.tls_certificate.empty()) throw ConfigError("\"tls\" needs \"tls_certificate\"");
   return config;
 }
 
--- /dev/null
+++ b/src/front/sip/tls.cpp
@@ -0,0 +1,122 @@
+#include "front/sip/tls.hpp"
+
+#include <openssl/err.h>
+#include <sys/stat.h>
+
+#include <stdexcept>
+#include <utility>
+
+namespace quartzarch::sip {
+namespace {
+
+constexpr std::size_t kMostHeld = 256 * 1024;  // until a handshake is done
+
+std::string last_error() {
+  char reason[256] = "";
+  ERR_error_string_n(ERR_get_error(), reason, sizeof reason);
+  ERR_clear_error();
+  return reason;
+}
+
+}  // namespace
+
+TlsContext::TlsContext(Logger& log, std::string certificate, std::string ca_file)
+    : log_(log), certificate_(std::move(certificate)), stamp_(stamp()), server_(load()) {
+  client_.reset(SSL_CTX_new(TLS_client_method()));
+  SSL_CTX_set_min_proto_version(client_.get(), TLS1_2_VERSION);
+  SSL_CTX_set_verify(client_.get(), SSL_VERIFY_PEER, nullptr);
+  const bool trusted = ca_file.empty()
+                           ? SSL_CTX_set_default_verify_paths(client_.get()) == 1
+                           : SSL_CTX_load_verify_locations(client_.get(), ca_file.c_str(), nullptr) == 1;
+  if (!trusted) throw std::runtime_error("whom to trust cannot be read: " + last_error());
+}
+
+TlsContext::Context TlsContext::load() const {
+  Context context(SSL_CTX_new(TLS_server_method()));
+  SSL_CTX_set_min_proto_version(context.get(), TLS1_2_VERSION);
+  const char* const file = certificate_.c_str();
+  if (SSL_CTX_use_certificate_chain_file(context.get(), file) != 1 ||
+      SSL_CTX_use_PrivateKey_file(context.get(), file, SSL_FILETYPE_PEM) != 1 ||
+      SSL_CTX_check_private_key(context.get()) != 1) {
+    throw std::runtime_error(certificate_ + " cannot be used: " + last_error());
+  }
+  return context;
+}
+
+std::string TlsContext::stamp() const {
+  struct stat info {};
+  if (::stat(certificate_.c_str(), &info) != 0) return {};
+  return std::to_string(info.st_ino) + "." + std::to_string(info.st_mtim.tv_sec) + "." +
+         std::to_string(info.st_mtim.tv_nsec) + "." + std::to_string(info.st_size);
+}
+
+void TlsContext::reload_if_changed() {
+  const std::string now = stamp();
+  if (now.empty() || std::exchange(stamp_, now) == now) return;
+  try {
+    server_ = load();
+    log_.line("tls: certificate %s read again", certificate_.c_str());
+  } catch (const std::runtime_error& error) {
+    log_.line("tls: %s; the old one goes on", error.what());
+  }
+}
+
+TlsSession::TlsSession(SSL_CTX* context) : ssl_(SSL_new(context)) {
+  SSL_set_bio(ssl_.get(), BIO_new(BIO_s_mem()), BIO_new(BIO_s_mem()));
+}
+
+std::unique_ptr<TlsSession> TlsSession::accepting(SSL_CTX* context) {
+  std::unique_ptr<TlsSession> session(new TlsSession(context));
+  SSL_set_accept_state(session->ssl_.get());
+  return session;
+}
+
+std::unique_ptr<TlsSession> TlsSession::connecting(SSL_CTX* context, const std::string& peer) {
+  std::unique_ptr<TlsSession> session(new TlsSession(context));
+  SSL_set_connect_state(session->ssl_.get());
+  X509_VERIFY_PARAM_set1_ip_asc(SSL_get0_param(session->ssl_.get()), peer.c_str());
+  session->step();
+  return session;
+}
+
+bool TlsSession::feed(std::string_view ciphertext) {
+  BIO_write(SSL_get_rbio(ssl_.get()), ciphertext.data(), static_cast<int>(ciphertext.size()));
+  return step();
+}
+
+bool TlsSession::write(std::string_view plain) {
+  if (held_.size() + plain.size() > kMostHeld) return false;
+  held_ += plain;
+  return step();
+}
+
+// As far as it goes with what has come: the handshake, what is held, what can be read.
+bool TlsSession::step() {
+  ERR_clear_error();
+  SSL* const ssl = ssl_.get();
+  const auto waits = [ssl](int result) { return SSL_get_error(ssl, result) == SSL_ERROR_WANT_READ; };
+  if (!SSL_is_init_finished(ssl)) {
+    const int result = SSL_do_handshake(ssl);
+    if (result != 1) return waits(result);
+  }
+  if (!held_.empty()) {
+    const int result = SSL_write(ssl, held_.data(), static_cast<int>(held_.size()));
+    if (result <= 0) return waits(result);
+    held_.clear();
+  }
+  for (;;) {
+    char bytes[16 * 1024];
+    const int result = SSL_read(ssl, bytes, sizeof bytes);
+    if (result <= 0) return waits(result);
+    plain_.append(bytes, static_cast<std::size_t>(result));
+  }
+}
+
+std::string TlsSession::take_ciphertext() {
+  BIO* const out = SSL_get_wbio(ssl_.get());
+  std::string bytes(BIO_ctrl_pending(out), '\0');
+  if (!bytes.empty()) BIO_read(out, bytes.data(), static_cast<int>(bytes.size()));
+  return bytes;
+}
+
+}  // namespace quartzarch::sip
--- a/src/front/sip/transactions.cpp
+++ b/src/front/sip/transactions.cpp
@@ -9,7 +9,6 @@
 namespace {
 
 constexpr std::string_view kCookie = "z9hG4bK";
-constexpr int kDefaultPort = 5060;
 
 std::string address_of(const sockaddr_in& address) {
   const std::string text = address_text(address);
@@ -32,7 +31,7 @@
 // Where the responses go: back on the connection, else to the address that the Via names, as it was seen.
 Hop reply_hop(const Via& via, std::string_view top, const Hop& from) {
   Hop to = from;
-  const int port = via.port != 0 ? via.port : kDefaultPort;
+  const int port = via.port != 0 ? via.port : default_port(from.kind);
   const bool symmetric = from.kind == TransportKind::udp && parameter(top, "rport").has_value();
   if (!symmetric) to.address.sin_port = htons(static_cast<std::uint16_t>(port));
   return to;
@@ -281,7 +280,7 @@
   Client& client = clients_[branch];
   client.to = to;
   client.subject = subject;
-  client.head = method + " " + uri + " SIP/2.0\r\nVia: SIP/2.0/" + (to.reliable() ? "TCP " : "UDP ") +
+  client.head = method + " " + uri + " SIP/2.0\r\nVia: SIP/2.0/" + std::string(name_of(to.kind)) + " " +
                 address_text(transport_->local(to.kind)) + ";branch=" + branch + "\r\n" + headers +
                 "Max-Forwards: 70\r\nContent-Length: 0\r\n\r\n";
   transport_->send(to, client.head, {});
--- a/src/front/sip/transport.cpp
+++ b/src/front/sip/transport.cpp
@@ -14,7 +14,8 @@
 constexpr std::size_t kLongestBody = 16 * 1024;
 constexpr Duration kConnectTimeout = std::chrono::seconds(4);
 constexpr int kDatagramsAtOnce = 64;
-constexpr std::size_t kMostUnwritten = 1000;
+constexpr std::size_t kMostUndelivered = 64;
+constexpr Duration kCertificateLook = std::chrono::seconds(5);
 
 bool same_address(const sockaddr_in& a, const sockaddr_in& b) {
   return a.sin_addr.s_addr == b.sin_addr.s_addr && a.sin_port == b.sin_port;
@@ -22,27 +23,46 @@
 
 }  // namespace
 
-Transport::Transport(Loop& loop, Logger& log, const std::optional<sockaddr_in>& udp,
-                     const std::optional<sockaddr_in>& tcp, std::size_t most_connections,
+const char* name_of(TransportKind kind) {
+  return kind == TransportKind::udp ? "UDP" : kind == TransportKind::tcp ? "TCP" : "TLS";
+}
+
+int default_port(TransportKind kind) { return kind == TransportKind::tls ? 5061 : 5060; }
+
+Transport::Transport(Loop& loop, Logger& log, const Listening& listening, std::size_t most_connections,
                      OnMessage on_message)
     : loop_(loop), log_(log), most_connections_(most_connections), on_message_(std::move(on_message)) {
-  if (udp) {
-    udp_ = bind_udp(*udp);
+  if (listening.udp) {
+    udp_ = bind_udp(*listening.udp);
     loop_.watch(*this, Rank::callers);
   }
-  if (tcp) {
-    tcp_ = std::make_unique<Listener>(*this, listen_on(*tcp));
+  if (listening.tcp) {
+    tcp_ = std::make_unique<Listener>(*this, TransportKind::tcp, listen_on(*listening.tcp));
     loop_.watch(*tcp_, Rank::callers);
   }
+  if (listening.tls) {
+    tls_context_ = std::make_unique<TlsContext>(log, listening.tls_certificate, listening.tls_ca);
+    tls_ = std::make_unique<Listener>(*this, TransportKind::tls, listen_on(*listening.tls));
+    loop_.watch(*tls_, Rank::callers);
+    look_at_certificate();
+  }
 }
 
 Transport::~Transport() {
+  if (certificate_timer_) loop_.cancel(*certificate_timer_);
   loop_.forget(*this);
   if (tcp_) loop_.forget(*tcp_);
+  if (tls_) loop_.forget(*tls_);
   for (auto& [id, connection] : connections_) connection.stream->close();
 }
 
+void Transport::look_at_certificate() {
+  tls_context_->reload_if_changed();
+  certificate_timer_ = loop_.at(loop_.now() + kCertificateLook, [this] { look_at_certificate(); });
+}
+
 sockaddr_in Transport::local(TransportKind kind) const {
+  if (kind == TransportKind::tls && tls_) return bound_address(tls_->fd());
   return bound_address(kind == TransportKind::udp || !tcp_ ? udp_ : tcp_->fd());
 }
 
@@ -85,7 +105,7 @@
 
 void Transport::send(const Hop& to, const std::string& head, const std::string& body) {
   if (to.reliable()) {
-    if (Connection* const connection = connection_to(to)) queue(*connection, to.address, {head, body, 0});
+    if (Connection* const connection = connection_to(to)) queue(*connection, {to.address, head, body});
     return;
   }
   if (!udp_) return;
@@ -105,14 +125,16 @@
 
 // ---- TCP
 
-void Transport::accept_all() {
+void Transport::accept_all(const Fd& listener, TransportKind kind) {
   while (room()) {
     sockaddr_in peer{};
     socklen_t size = sizeof peer;
-    Fd fd(::accept(tcp_->fd().get(), reinterpret_cast<sockaddr*>(&peer), &size));
+    Fd fd(::accept(listener.get(), reinterpret_cast<sockaddr*>(&peer), &size));
     if (!fd) return;
-    add(std::make_shared<Stream>(loop_, std::move(fd), static_cast<Stream::Owner&>(*this), Rank::callers),
-        peer);
+    Connection& connection =
+        add(std::make_shared<Stream>(loop_, std::move(fd), static_cast<Stream::Owner&>(*this), Rank::callers),
+            peer, kind);
+    if (kind == TransportKind::tls) connection.tls = TlsSession::accepting(tls_context_->server());
   }
   make_room();
 }
@@ -129,9 +151,15 @@
   connections_.erase(oldest);
 }
 
-Transport::Connection& Transport::add(std::shared_ptr<Stream> stream, const sockaddr_in& peer) {
+Transport::Connection& Transport::add(std::shared_ptr<Stream> stream, const sockaddr_in& peer,
+                                      TransportKind kind) {
   const std::uint64_t id = ++last_connection_;
-  return connections_[id] = Connection{id, std::move(stream), peer, {}};
+  Connection& connection = connections_[id];
+  connection.id = id;
+  connection.stream = std::move(stream);
+  connection.peer = peer;
+  connection.kind = kind;
+  return connection;
 }
 
 Transport::Connection* Transport::of(const Stream& stream) {
@@ -145,55 +173,96 @@
 Transport::Connection* Transport::connection_to(const Hop& to) {
   if (const auto found = connections_.find(to.connection); found != connections_.end()) return &found->second;
   for (auto& [id, connection] : connections_) {
-    if (same_address(connection.peer, to.address)) return &connection;
+    if (connection.kind == to.kind && same_address(connection.peer, to.address)) return &connection;
   }
-  if (to.address.sin_port == 0) return nullptr;
+  if (to.address.sin_port == 0 || (to.kind == TransportKind::tls && !tls_context_)) return nullptr;
   if (!room()) make_room();
-  return &add(std::make_shared<Stream>(loop_, to.address, kConnectTimeout, static_cast<Stream::Owner&>(*this),
-                                       Rank::callers),
-              to.address);
+  Connection& made = add(std::make_shared<Stream>(loop_, to.address, kConnectTimeout,
+                                                  static_cast<Stream::Owner&>(*this), Rank::callers),
+                         to.address, to.kind);
+  if (to.kind == TransportKind::tls) {
+    const std::string peer = address_text(to.address);
+    made.tls = TlsSession::connecting(tls_context_->client(), peer.substr(0, peer.rfind(':')));
+    made.stream->send({made.tls->take_ciphertext(), {}, 0});
+  }
+  return &made;
 }
 
-void Transport::queue(Connection& connection, const sockaddr_in& elsewhere, Segment segment) {
-  if (connection.elsewhere.size() > kMostUnwritten) {
-    std::erase_if(connection.elsewhere, [&](const auto& item) {
-      const auto& unsent = connection.stream->unsent();
+void Transport::queue(Connection& connection, Undelivered message) {
+  if (connection.undelivered.size() >= kMostUndelivered) {
+    const auto& unsent = connection.stream->unsent();
+    std::erase_if(connection.undelivered, [&](const auto& item) {
       return std::none_of(unsent.begin(), unsent.end(),
                           [&](const Segment& s) { return s.tag == item.first; });
     });
   }
-  segment.tag = ++last_tag_;
-  connection.elsewhere[segment.tag] = elsewhere;
-  connection.stream->send(std::move(segment));
+  const std::uint64_t tag = ++last_tag_;
+  if (!connection.tls) {
+    connection.stream->send({message.head, message.body, tag});
+  } else if (connection.tls->write(message.head + message.body)) {
+    connection.stream->send({connection.tls->take_ciphertext(), {}, tag});
+  }
+  connection.undelivered.emplace(tag, std::move(message));
 }
 
 void Transport::arrived(Stream& stream) {
-  while (stream.alive()) {
-    std::string_view input = stream.input();
-    const auto start = input.find_first_not_of("\r\n");  // keep-alives between messages
-    stream.consume(start == std::string_view::npos ? input.size() : start);
-    input = stream.input();
-    if (input.empty()) return;
+  Connection* const connection = of(stream);
+  if (!connection) return;
+  const std::uint64_t id = connection->id;
+  if (connection->tls && !decrypt(*connection)) return drop(*connection, "TLS broken");
+  // Handling a message may take connections away, this one too: it is looked up anew afterwards.
+  const std::string plain = std::exchange(connection->plain, {});
+  const bool secure = connection->tls != nullptr;
+  const auto taken = take(id, secure ? std::string_view(plain) : stream.input());
+  const auto still = connections_.find(id);
+  if (still == connections_.end()) return;
+  if (!taken) return drop(still->second, "malformed message");
+  if (secure) {
+    still->second.plain = plain.substr(*taken);
+  } else {
+    stream.consume(*taken);
+  }
+}
+
+bool Transport::decrypt(Connection& connection) {
+  Stream& stream = *connection.stream;
+  const std::string_view input = stream.input();
+  const bool good = connection.tls->feed(input);
+  stream.consume(input.size());
+  if (std::string out = connection.tls->take_ciphertext(); !out.empty()) stream.send({std::move(out), {}, 0});
+  connection.plain += connection.tls->take_plain();
+  return good;
+}
+
+std::optional<std::size_t> Transport::take(std::uint64_t id, std::string_view bytes) {
+  std::size_t taken = 0;
+  while (connections_.count(id) > 0) {
+    const auto start = bytes.find_first_not_of("\r\n", taken);  // keep-alives between messages
+    if (start == std::string_view::npos) return bytes.size();
+    taken = start;
+    const std::string_view input = bytes.substr(taken);
     const std::size_t head = head_length(input);
-    if (head == std::string_view::npos && input.size() <= kLongestHead) return;
+    if (head == std::string_view::npos && input.size() <= kLongestHead) return taken;
     // On a stream the Content-Length alone tells where a message ends: without one there is no way on.
     const auto length = head == std::string_view::npos ? std::nullopt : content_length(input.substr(0, head));
     const bool framed = length && *length >= 0 && static_cast<std::size_t>(*length) <= kLongestBody;
-    if (framed && input.size() < head + static_cast<std::size_t>(*length)) return;
-    const auto message =
-        framed ? Message::parse(input.substr(0, head), input.substr(head, static_cast<std::size_t>(*length)))
-               : std::nullopt;
-    Connection* const connection = of(stream);
-    if (!connection) return;
-    if (!message) {
-      log_.line("sip: malformed message from %s, connection closed", address_text(connection->peer).c_str());
-      stream.close();
-      return lost(stream, Lost::closed);
-    }
-    const Hop from{TransportKind::tcp, connection->peer, connection->id};
-    on_message_(*message, from);
-    stream.consume(head + static_cast<std::size_t>(*length));
+    if (!framed) return std::nullopt;
+    const std::size_t body = static_cast<std::size_t>(*length);
+    if (input.size() < head + body) return taken;
+    const auto message = Message::parse(input.substr(0, head), input.substr(head, body));
+    if (!message) return std::nullopt;
+    const Connection& connection = connections_.at(id);
+    on_message_(*message, Hop{connection.kind, connection.peer, id});
+    taken += head + body;
   }
+  return taken;
+}
+
+void Transport::drop(Connection& connection, const char* why) {
+  log_.line("sip: %s from %s, connection closed", why, address_text(connection.peer).c_str());
+  Stream& stream = *connection.stream;
+  stream.close();
+  lost(stream, Lost::closed);
 }
 
 void Transport::lost(Stream& stream, Lost how) {
@@ -207,10 +276,10 @@
     return;  // its timers decide what becomes of what was to be sent
   }
   // What did not leave in full is sent again as a whole, to where a new connection may be made.
-  for (const Segment& segment : gone.stream->unsent()) {
-    const auto elsewhere = gone.elsewhere.find(segment.tag);
-    if (elsewhere == gone.elsewhere.end() || same_address(elsewhere->second, gone.peer)) continue;
-    send({TransportKind::tcp, elsewhere->second, 0}, segment.head, segment.body);
+  for (const Segment& segment : stream.unsent()) {
+    const auto message = gone.undelivered.find(segment.tag);
+    if (message == gone.undelivered.end() || same_address(message->second.elsewhere, gone.peer)) continue;
+    send({gone.kind, message->second.elsewhere, 0}, message->second.head, message->second.body);
   }
 }
 
--- a/src/front/sip/transport.hpp
+++ b/src/front/sip/transport.hpp
@@ -1,4 +1,4 @@
-// SIP over UDP and TCP: framing, and where responses and requests go.
+// SIP over UDP, TCP and TLS: framing, and where responses and requests go.
 #pragma once
 
 #include <functional>
@@ -7,12 +7,13 @@
 #include <optional>
 
 #include "front/sip/message.hpp"
+#include "front/sip/tls.hpp"
 #include "log.hpp"
 #include "net/stream.hpp"
 
 namespace quartzarch::sip {
 
-enum class TransportKind { udp, tcp };
+enum class TransportKind { udp, tcp, tls };
 
 // Where a message came from or goes to. A connection that is gone is replaced by a new one to the address.
 struct Hop {
@@ -22,13 +23,23 @@
   bool reliable() const { return kind != TransportKind::udp; }
 };
 
+struct Listening {
+  std::optional<sockaddr_in> udp{}, tcp{}, tls{};
+  std::string tls_certificate{}, tls_ca{};
+};
+
+// "UDP", and the port where none is named.
+const char* name_of(TransportKind kind);
+int default_port(TransportKind kind);
+
 class Transport : private Watched, private Stream::Owner {
  public:
   using OnMessage = std::function<void(const Message&, const Hop& from)>;
 
-  // Throws std::system_error if an address cannot be listened on.
-  Transport(Loop& loop, Logger& log, const std::optional<sockaddr_in>& udp,
-            const std::optional<sockaddr_in>& tcp, std::size_t most_connections, OnMessage on_message);
+  // Throws std::system_error if an address cannot be listened on, std::runtime_error if the certificate is
+  // bad.
+  Transport(Loop& loop, Logger& log, const Listening& listening, std::size_t most_connections,
+            OnMessage on_message);
   ~Transport() override;
 
   void send(const Hop& to, const std::string& head, const std::string& body);
@@ -40,22 +51,31 @@
  private:
   class Listener : public Watched {
    public:
-    Listener(Transport& transport, Fd fd) : transport_(transport), fd_(std::move(fd)) {}
+    Listener(Transport& transport, TransportKind kind, Fd fd)
+        : transport_(transport), kind_(kind), fd_(std::move(fd)) {}
     const Fd& fd() const { return fd_; }
     int descriptor() const override { return fd_.get(); }
     short interest() const override { return transport_.room() ? POLLIN : 0; }
-    void ready(short) override { transport_.accept_all(); }
+    void ready(short) override { transport_.accept_all(fd_, kind_); }
 
    private:
     Transport& transport_;
+    TransportKind kind_;
     Fd fd_;
   };
+  struct Undelivered {
+    sockaddr_in elsewhere{};
+    std::string head{}, body{};
+  };
   struct Connection {
     std::uint64_t id = 0;
     std::shared_ptr<Stream> stream{};
     sockaddr_in peer{};
-    // Where what is not written in full goes if the connection is lost, by its tag.
-    std::map<std::uint64_t, sockaddr_in> elsewhere{};
+    TransportKind kind = TransportKind::tcp;
+    // What may not have been written in full, by its tag, and where it goes if the connection is lost.
+    std::map<std::uint64_t, Undelivered> undelivered{};
+    std::unique_ptr<TlsSession> tls{};
+    std::string plain{};  // what TLS has made readable and is no whole message yet
   };
 
   int descriptor() const override { return udp_.get(); }
@@ -65,19 +85,26 @@
   void lost(Stream& stream, Lost how) override;
 
   bool room() const { return connections_.size() < most_connections_; }
-  void accept_all();
+  void accept_all(const Fd& listener, TransportKind kind);
   void make_room();
   Connection* of(const Stream& stream);
-  Connection& add(std::shared_ptr<Stream> stream, const sockaddr_in& peer);
+  Connection& add(std::shared_ptr<Stream> stream, const sockaddr_in& peer, TransportKind kind);
   Connection* connection_to(const Hop& to);
-  void queue(Connection& connection, const sockaddr_in& elsewhere, Segment segment);
+  void queue(Connection& connection, Undelivered message);
+  bool decrypt(Connection& connection);
+  // Takes whole messages off the front; the bytes they took, nothing if one is malformed.
+  std::optional<std::size_t> take(std::uint64_t connection, std::string_view bytes);
+  void drop(Connection& connection, const char* why);
+  void look_at_certificate();
 
   Loop& loop_;
   Logger& log_;
   std::size_t most_connections_;
   OnMessage on_message_;
   Fd udp_;
-  std::unique_ptr<Listener> tcp_;
+  std::unique_ptr<TlsContext> tls_context_;
+  std::unique_ptr<Listener> tcp_, tls_;
+  std::optional<Loop::TimerId> certificate_timer_{};
   std::map<std::uint64_t, Connection> connections_;
   std::uint64_t last_connection_ = 0;
   std::uint64_t last_tag_ = 0;
--- a/tests/sip_test.cpp
+++ b/tests/sip_test.cpp
@@ -1,4 +1,9 @@
 // Stories of the SIP front with stand-in gateways and a stand-in setup server.
+#include <openssl/pem.h>
+
+#include <filesystem>
+
+#include "acme/store.hpp"
 #include "front/sip/front_config.hpp"
 #include "loopback.hpp"
 
@@ -7,11 +12,33 @@
 
 using sip::TransportKind;
 
+// A key and a certificate that it signs itself, in one text.
+std::string certificate_for(const std::string& name) {
+  const acme::Key key = acme::new_key();
+  const acme::Certificate made(X509_new());
+  X509_set_version(made.get(), 2);
+  X509_gmtime_adj(X509_getm_notBefore(made.get()), -60);
+  X509_gmtime_adj(X509_getm_notAfter(made.get()), 86400);
+  X509_set_pubkey(made.get(), key.get());
+  X509_NAME* const subject = X509_get_subject_name(made.get());
+  X509_NAME_add_entry_by_txt(subject, "CN", MBSTRING_ASC,
+                             reinterpret_cast<const unsigned char*>(name.c_str()), -1, -1, 0);
+  X509_set_issuer_name(made.get(), subject);
+  X509_sign(made.get(), key.get(), EVP_sha256());
+  BIO* const bio = BIO_new(BIO_s_mem());
+  PEM_write_bio_X509(bio, made.get());
+  char* data = nullptr;
+  const auto size = BIO_get_mem_data(bio, &data);
+  const std::string pem(data, static_cast<std::size_t>(size));
+  BIO_free(bio);
+  return acme::pem_of(key) + pem;
+}
+
 class Sip : public Program {
  protected:
   Sip() {
     sip::FrontConfig config;
-    config.udp = config.tcp = any_port();
+    config.listening.udp = config.listening.tcp = any_port();
     config.default_class = "voice";
     config.timers.t1 = milliseconds(20);
     sip_front = std::make_unique<sip::SipFront>(loop, log, *planner, config, 7);
@@ -25,7 +52,7 @@
   static std::string request(const Peer& peer, TransportKind kind, const std::string& method, int cseq,
                              const std::string& branch, const std::string& headers = {},
                              const std::string& body = {}, const std::string& to_tag = {}) {
-    const std::string transport = kind == TransportKind::udp ? "UDP" : "TCP";
+    const std::string transport = sip::name_of(kind);
     return method + " sip:7f3a9c21e0b4d655@lab SIP/2.0\r\nVia: SIP/2.0/" + transport + " " + peer.address() +
            ";branch=z9hG4bK" + branch +
            "\r\nMax-Forwards: 70\r\nFrom: <sip:gw@lab>;tag=g\r\nTo: <sip:7f@lab>" +
@@ -340,6 +367,49 @@
   EXPECT_EQ(sip_front->dialogs(), 0u);
 }
 
+// A gateway over TLS, with the certificate that the certificate client keeps; a new one is taken up in
+// service.
+TEST_F(Sip, CallsComeOverTlsAndANewCertificateIsTakenUp) {
+  const std::string file =
+      (std::filesystem::temp_directory_path() / ("sip-" + std::to_string(::getpid()) + ".pem")).string();
+  const auto first = certificate_for("127.0.0.1"), second = certificate_for("127.0.0.1");
+  acme::replace_file(file, first);
+  sip::FrontConfig config;
+  config.listening.tls = any_port();
+  config.listening.tls_certificate = file;
+  config.default_class = "voice";
+  sip_front = std::make_unique<sip::SipFront>(loop, log, *planner, config, 7);
+
+  std::unique_ptr<SSL_CTX, sip::FreeSsl> context(SSL_CTX_new(TLS_client_method()));
+  Peer peer = gateway(TransportKind::tls);
+  auto session = sip::TlsSession::connecting(context.get(), "127.0.0.1");
+  std::string heard;
+  const auto talk = [&] {
+    peer.say(session->take_ciphertext());
+    EXPECT_TRUE(session->feed(peer.take()));
+    peer.say(session->take_ciphertext());
+    heard += session->take_plain();
+  };
+  session->write(invite(peer, TransportKind::tls));
+  until([&] { return talk(), server.heard().find("offer") != std::string::npos; }, "the offer");
+  server.say(line("accept", offered(), "\"desc\":\"s=1\\r\\n\""));
+  until([&] { return talk(), heard.find("s=1\r\n") != std::string::npos; }, "the answer");
+  EXPECT_NE(heard.find(";transport=tls>"), std::string::npos);
+  session->write("NONSENSE\r\n\r\n");
+  peer.say(session->take_ciphertext());
+  until([&] { return peer.ended(); }, "the close");
+
+  sip::TlsContext ours(log, file, file);
+  const auto* const before = ours.server();
+  acme::replace_file(file, "no certificate");
+  ours.reload_if_changed();
+  EXPECT_EQ(ours.server(), before) << "a bad file took the place of a good certificate";
+  acme::replace_file(file, second);
+  ours.reload_if_changed();
+  EXPECT_NE(ours.server(), before);
+  std::filesystem::remove(file);
+}
+
 TEST(SipMessage, CompactFormsAndFoldedLinesAreRead) {
   const std::string head =
       "INVITE sip:1@h SIP/2.0\r\nv: SIP/2.0/UDP a;branch=z9hG4bKx, SIP/2.0/TCP b:99;branch=z9hG4bKy\r\n"
@@ -365,8 +435,8 @@
 TEST(SipConfiguration, IsDecodedAndABadOneIsNamed) {
   const auto config =
       sip::parse_front_config("udp = \"127.0.0.1:5060\"\nt1_ms = 20\ndefault_class = \"voice\"\n");
-  EXPECT_TRUE(config.udp);
-  EXPECT_FALSE(config.tcp);
+  EXPECT_TRUE(config.listening.udp);
+  EXPECT_FALSE(config.listening.tcp);
   EXPECT_EQ(config.timers.t1, milliseconds(20));
   for (const char* bad : {"", "udp = 1", "udp = \"x\"", "udp = ", "udp = \"127.0.0.1:1\"\nt1_ms = 0"}) {
     EXPECT_THROW(sip::parse_front_config(bad), ConfigError) << bad;
