--- a/tests/acme_test.cpp
+++ b/tests/acme_test.cpp
@@ -8,6 +8,7 @@
 #include "acme/store.hpp"
 #include "authority.hpp"
 #include "config.hpp"
+#include "loopback.hpp"
 
 namespace quartzarch::test {
 namespace {
@@ -24,8 +25,7 @@
     settings.client.patience = milliseconds(20);
     settings.account_key = directory + "/account.pem";
     settings.certificate = directory + "/sip.pem";
-    // A port that is free: bound once, and given back for the responder.
-    settings.challenges = bound_address(listen_on(*parse_address("127.0.0.1:0")));
+    settings.challenges = free_address();
   }
   ~Acme() override { std::filesystem::remove_all(directory); }
   std::string failure() {
@@ -76,7 +76,7 @@
 // The authority asks elsewhere and finds nobody: the certificate at hand stays.
 TEST_F(Acme, ARejectedChallengeLeavesTheOldCertificate) {
   acme::replace_file(settings.certificate, "old");
-  Authority authority(bound_address(listen_on(*parse_address("127.0.0.1:0"))), {});
+  Authority authority(free_address(), {});
   settings.client.directory = authority.directory();
   EXPECT_NE(failure().find("invalid"), std::string::npos);
   EXPECT_EQ(read_file(settings.certificate), "old");
--- a/tests/controller_test.cpp
+++ b/tests/controller_test.cpp
@@ -1011,5 +1011,51 @@
   EXPECT_EQ(play(), play());
 }
 
+// A refused caller that is told nothing comes back at once and is refused again.
+TEST(Answers, ARefusalTellsWhenToComeBack) {
+  Settings settings = plain_settings();
+  Front none(settings, {});
+  none.call(1, 1, 0, milliseconds(100));
+  none.run_until(milliseconds(200));
+  ASSERT_EQ(none.done<Refuse>().size(), 1u);
+  EXPECT_EQ(none.done<Refuse>()[0].stay_away, settings.longest_stay_away)
+      << "no server, so as long as callers heed";
+
+  Front full(settings, {entry(1)});
+  full.call(1, 1, 0, milliseconds(100));
+  full.full(1, 1);
+  full.run_until(milliseconds(200));
+  ASSERT_EQ(full.done<Refuse>().size(), 1u);
+  const auto away = full.done<Refuse>()[0].stay_away.value();
+  EXPECT_GT(away, seconds(1)) << "the server is closed for an aim after 'processor full'";
+  EXPECT_LE(away, settings.longest_stay_away);
+
+  settings.longest_stay_away = Duration{0};
+  Front unheeded(settings, {});
+  unheeded.call(1, 1, 0, milliseconds(100));
+  unheeded.run_until(milliseconds(200));
+  EXPECT_EQ(unheeded.done<Refuse>().at(0).stay_away, std::nullopt);
+}
+
+// Some thousand held calls were once sorted at every event. Looking only at what may go must not change what
+// goes: the dearest, of equals the latest, and none is kept back by one whose class has no open server.
+TEST(Holding, OfManyHeldCallsTheDearestAndLatestGoesFirst) {
+  Settings settings = plain_settings();
+  settings.classes[1].pools = {2};
+  Front front(settings, {entry(1)});
+  front.call(1);
+  front.full(1, 1);
+  for (CallId id = 2; id <= 2000; ++id) {
+    front.now += Duration{1};
+    front.call(id, 1, 0, seconds(9));
+  }
+  front.call(5000, 2, 1, seconds(9));  // worth most, and its only server is not there
+  const auto before = front.done<SendSetup>().size();
+  front.run_until(seconds(4));
+  const auto sent = front.done<SendSetup>();
+  ASSERT_GT(sent.size(), before);
+  EXPECT_EQ(sent[before].call, 2000u);
+}
+
 }  // namespace
 }  // namespace quartzarch
--- a/tests/loopback.hpp
+++ b/tests/loopback.hpp
@@ -22,6 +22,15 @@
 
 inline sockaddr_in any_port() { return *parse_address("127.0.0.1:0"); }
 
+// A port that is free and that nobody else takes before it is used: the loopback address is this process's
+// own.
+inline sockaddr_in free_address() {
+  const int pid = ::getpid();
+  const std::string host = "127." + std::to_string(64 + (pid >> 16 & 63)) + "." +
+                           std::to_string(pid >> 8 & 255) + "." + std::to_string(pid & 255);
+  return bound_address(listen_on(*parse_address(host + ":0")));
+}
+
 // A scripted peer's end of a connection, or a UDP socket.
 class Peer {
  public:
