Do not share a UDP port between processes

Seen: one of many parallel runs of the suite failed in a SIP story: a BYE got no 200 and its setup server no end, while the next BYE got a 481. Checked: 720 runs of that story alone, 12 at a time, did not fail; the dialog was there and acknowledged. At fault: src/net/stream.cpp, bound(), set SO_REUSEADDR on UDP too, under which two sockets may hold one port (the system even gives it out twice) and the later takes the other's datagrams. Only TCP has it now.

Also a story: at the limit of SIP connections the quiet one makes room and its call still gets its answer.

--- a/src/net/stream.cpp
+++ b/src/net/stream.cpp
@@ -205,7 +205,9 @@
     throw std::system_error(errno, std::generic_category(), what + (" " + address_text(address)));
   };
   if (!fd) fail("no socket for");
-  ::setsockopt(fd.get(), SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+  // For a TCP port that a process before has just left. On UDP it would let two sockets share one port, and
+  // the later one take the datagrams of the other.
+  if (type == SOCK_STREAM) ::setsockopt(fd.get(), SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
   set_up(fd.get());
   if (::bind(fd.get(), reinterpret_cast<const sockaddr*>(&address), sizeof address) != 0) {
     fail("cannot listen on");
--- a/tests/sip_test.cpp
+++ b/tests/sip_test.cpp
@@ -350,6 +350,36 @@
   until([&] { return peer.ended(); }, "the close");
 }
 
+// At the limit the connection that has been quiet for longest makes room, and its call still gets its answer.
+TEST_F(Sip, AQuietConnectionMakesRoomAndItsCallIsStillAnswered) {
+  sip::FrontConfig config;
+  config.listening.tcp = any_port();
+  config.default_class = "voice";
+  config.most_connections = 2;
+  sip_front = std::make_unique<sip::SipFront>(loop, log, *planner, config, 7);
+  Listener home;
+  Peer silent = gateway(TransportKind::tcp);
+  std::string first = invite(silent, TransportKind::tcp);
+  first.replace(first.find(silent.address()), silent.address().size(), address_text(home.address()));
+  silent.say(first);
+  const std::string call = offered();
+  Peer next = gateway(TransportKind::tcp);
+  until([&] { return silent.ended(); }, "the close of the quiet one");
+  next.say(request(next, TransportKind::tcp, "OPTIONS", 1, "o1"));
+  hears(next, "SIP/2.0 200");
+  server.say(reply("end", call, "\"why\":17", "\"note\":\"occupied\""));
+  Peer back;
+  until([&] { return static_cast<bool>(back = home.accept()); }, "a connection to the Via's address");
+  hears(back, "SIP/2.0 500");
+}
+
+// Two fronts on one UDP port would take each other's datagrams without a word.
+TEST_F(Sip, AUdpPortThatIsTakenIsNotShared) {
+  sip::FrontConfig config;
+  config.listening.udp = sip_front->address(TransportKind::udp);
+  EXPECT_THROW(sip::SipFront(loop, log, *planner, config, 8), std::system_error);
+}
+
 // At the stop nothing of a dialog outlives the process: its calls are ended on both sides.
 TEST_F(Sip, HangingUpEndsEveryCallOnBothSides) {
   Peer peer = gateway(TransportKind::udp);
