Read the configuration again on SIGHUP and ask a broken stream again at once

Signals (was StopSignal) takes SIGHUP too, blocked from before the file is read. Service reads the file again, whole; a bad one is one line. Coordinator::move goes to the new address and asks with the last number. A stream that had lasted is asked again without the pause of 100 ms, and one that is silent after 2.2 s rather than 3 s, since news counts as told 2 s after a break and 4 s after a stop (src/net/coordinator.cpp, retry).

Checked: the story SighupMovesToTheNewCoordinatorAndNothingElse (dies without the change).

--- a/src/main.cpp
+++ b/src/main.cpp
@@ -27,34 +27,42 @@
 // What gateways have for answering the last BYEs.
 constexpr Duration kLastByes = milliseconds(1000);
 
-// Turns SIGTERM and SIGINT into an event of the loop.
-class StopSignal : public Watched {
+// Turns SIGTERM and SIGINT (stop) and SIGHUP (read the configuration again) into events of the loop. Blocked
+// from its making on: a signal that comes while the process starts must not end it.
+class Signals : public Watched {
  public:
-  explicit StopSignal(Loop& loop) : loop_(loop) {
+  explicit Signals(Loop& loop) : loop_(loop) {
     sigset_t set;
     sigemptyset(&set);
-    sigaddset(&set, SIGTERM);
-    sigaddset(&set, SIGINT);
+    for (const int signal : {SIGTERM, SIGINT, SIGHUP}) sigaddset(&set, signal);
     sigprocmask(SIG_BLOCK, &set, nullptr);
     fd_ = Fd(::signalfd(-1, &set, SFD_CLOEXEC | SFD_NONBLOCK));
     loop_.watch(*this, Rank::news);
   }
-  ~StopSignal() override { loop_.forget(*this); }
+  ~Signals() override { loop_.forget(*this); }
+
+  std::optional<Time> stop_came() const { return stop_came_; }
+  // True once for all the SIGHUPs that came since it was asked last.
+  bool take_reload() { return std::exchange(reload_came_, false); }
 
-  std::optional<Time> came() const { return came_; }
   int descriptor() const override { return fd_.get(); }
   short interest() const override { return POLLIN; }
   void ready(short) override {
     signalfd_siginfo info;
-    while (::read(fd_.get(), &info, sizeof info) > 0) {
-      if (!came_) came_ = loop_.now();
+    while (::read(fd_.get(), &info, sizeof info) == sizeof info) {
+      if (info.ssi_signo == SIGHUP) {
+        reload_came_ = true;
+      } else if (!stop_came_) {
+        stop_came_ = loop_.now();
+      }
     }
   }
 
  private:
   Loop& loop_;
   Fd fd_;
-  std::optional<Time> came_{};
+  std::optional<Time> stop_came_{};
+  bool reload_came_ = false;
 };
 
 struct Options {
@@ -76,23 +84,40 @@
 // Serves until it was told to stop and nothing is owed any more.
 class Service {
  public:
-  Service(Loop& loop, Logger& log) : loop_(loop), log_(log), stop_(loop) {}
+  // What a new configuration means for those that run on it.
+  using Reload = std::function<void(const Config&)>;
+
+  Service(Loop& loop, Logger& log, const char* config_path)
+      : loop_(loop), log_(log), config_path_(config_path), signals_(loop) {}
 
   void run(const std::function<std::size_t()>& owed, const std::function<bool()>& idle,
-           const std::function<void(bool stopping)>& each_pass) {
+           const std::function<void(bool stopping)>& each_pass, const Reload& reload) {
     for (bool told = false;;) {
-      loop_.pass(stop_.came() ? milliseconds(20) : milliseconds(1000));
-      each_pass(stop_.came().has_value());
-      if (!stop_.came()) continue;
+      loop_.pass(signals_.stop_came() ? milliseconds(20) : milliseconds(1000));
+      if (signals_.take_reload()) read_again(reload);
+      const auto stop = signals_.stop_came();
+      each_pass(stop.has_value());
+      if (!stop) continue;
       if (!std::exchange(told, true)) log_.line("stopping: %zu calls owe their answer", owed());
-      if (loop_.now() - *stop_.came() >= kLastArrivals && owed() == 0 && idle()) break;
+      if (loop_.now() - *stop >= kLastArrivals && owed() == 0 && idle()) break;
     }
   }
 
  private:
+  // All of it is taken or nothing: after a bad file everything goes on as it was.
+  void read_again(const Reload& reload) {
+    try {
+      reload(parse_config(read_file(config_path_)));
+      log_.line("configuration: read again");
+    } catch (const ConfigError& error) {
+      log_.line("configuration: %s: %s; the old one goes on", config_path_, error.what());
+    }
+  }
+
   Loop& loop_;
   Logger& log_;
-  StopSignal stop_;
+  const char* config_path_;
+  Signals signals_;
 };
 
 // The fronts of a process: on a planner of its own or on several by the link.
@@ -123,51 +148,52 @@
   std::optional<sip::SipFront> sip_{};
 };
 
-void serve_alone(Loop& loop, Logger& log, const Config& config, const std::optional<sip::FrontConfig>& sip) {
-  Service service(loop, log);
+void serve_alone(Loop& loop, Logger& log, Service& service, const Config& config,
+                 const std::optional<sip::FrontConfig>& sip) {
   Planner planner(loop, log, config.start, config.seed);
   for (const FleetNews& news : config.known) planner.news(news);
   Fronts fronts(loop, log, planner, config, sip);
   planner.strays_to(fronts.strays());
-  const Coordinator coordinator(loop, log, config.coordinator, config.known_index,
-                                [&planner](const FleetNews& news) { planner.news(news); });
+  Coordinator coordinator(loop, log, config.coordinator, config.known_index,
+                          [&planner](const FleetNews& news) { planner.news(news); });
   log.line("%s: serving at %s", config.name.c_str(), address_text(config.listen).c_str());
-  service.run([&] { return planner.owed(); }, [&] { return fronts.idle(); }, [](bool) {});
+  service.run([&] { return planner.owed(); }, [&] { return fronts.idle(); }, [](bool) {},
+              [&](const Config& fresh) { coordinator.move(fresh.coordinator); });
   fronts.hang_up();
 }
 
 // One of several planners: each is an instance of its own among those of all call controllers.
-void serve_as_planner(Loop& loop, Logger& log, Config config, const std::vector<sockaddr_in>& planners,
-                      std::size_t index) {
+void serve_as_planner(Loop& loop, Logger& log, Service& service, Config config,
+                      const std::vector<sockaddr_in>& planners, std::size_t index) {
   Settings& settings = config.start.settings;
   settings.rank = settings.rank * static_cast<unsigned>(planners.size()) + static_cast<unsigned>(index);
   settings.instances *= static_cast<unsigned>(planners.size());
-  Service service(loop, log);
   Planner planner(loop, log, config.start, config.seed + index);
   for (const FleetNews& news : config.known) planner.news(news);
   link::Port port(loop, log, planner, planners[index]);
   planner.strays_to(port);
-  const Coordinator coordinator(loop, log, config.coordinator, config.known_index,
-                                [&planner](const FleetNews& news) { planner.news(news); });
+  Coordinator coordinator(loop, log, config.coordinator, config.known_index,
+                          [&planner](const FleetNews& news) { planner.news(news); });
   log.line("%s: planner %zu of %zu at %s", config.name.c_str(), index, planners.size(),
            address_text(planners[index]).c_str());
   service.run([&] { return planner.owed(); }, [&] { return port.idle(); },
               [&](bool stopping) {
                 if (stopping) port.stop();
                 port.tell_state();
-              });
+              },
+              [&](const Config& fresh) { coordinator.move(fresh.coordinator); });
 }
 
-void serve_as_forwarder(Loop& loop, Logger& log, const Config& config,
+void serve_as_forwarder(Loop& loop, Logger& log, Service& service, const Config& config,
                         const std::optional<sip::FrontConfig>& sip,
                         const std::vector<sockaddr_in>& addresses) {
-  Service service(loop, log);
   link::Planners planners(loop, log, addresses);
   Fronts fronts(loop, log, planners, config, sip);
   planners.strays_to(fronts.strays());
   log.line("%s: forwarding at %s to %zu planners", config.name.c_str(), address_text(config.listen).c_str(),
            addresses.size());
-  service.run([&] { return planners.owed(); }, [&] { return fronts.idle(); }, [](bool) {});
+  service.run([&] { return planners.owed(); }, [&] { return fronts.idle(); }, [](bool) {},
+              [](const Config&) {});
   fronts.hang_up();
 }
 
@@ -202,6 +228,8 @@
 }
 
 void serve(Logger& log, Files& files, const char* config_path, const Options& options) {
+  Loop loop;
+  Service service(loop, log, config_path);
   const Config config = parse_config(files.read(config_path));
   std::optional<sip::FrontConfig> sip;
   if (options.sip) sip = sip::parse_front_config(files.read(options.sip));
@@ -210,13 +238,12 @@
   if (options.planner && *options.planner >= planners.size()) {
     throw ConfigError("there is no planner " + std::to_string(*options.planner));
   }
-  Loop loop;
   if (options.planner) {
-    serve_as_planner(loop, log, config, planners, *options.planner);
+    serve_as_planner(loop, log, service, config, planners, *options.planner);
   } else if (options.forwarder) {
-    serve_as_forwarder(loop, log, config, sip, planners);
+    serve_as_forwarder(loop, log, service, config, sip, planners);
   } else {
-    serve_alone(loop, log, config, sip);
+    serve_alone(loop, log, service, config, sip);
   }
   log.line("stopped");
 }
--- a/src/net/coordinator.cpp
+++ b/src/net/coordinator.cpp
@@ -13,7 +13,10 @@
 
 constexpr Duration kConnectTimeout = milliseconds(1000);
 // A comment comes every second: a stream that is quiet for longer is dead.
-constexpr Duration kLongestSilence = milliseconds(3000);
+constexpr Duration kLongestSilence = milliseconds(2200);
+// One that has lasted this long and breaks is asked for again without a pause: what the coordinator has to
+// tell counts as told soon after.
+constexpr Duration kLasting = milliseconds(500);
 constexpr Duration kFirstPause = milliseconds(100);
 constexpr Duration kLongestPause = milliseconds(1000);
 constexpr std::size_t kLongestLine = 1024 * 1024;
@@ -32,17 +35,14 @@
   connect();
 }
 
-Coordinator::~Coordinator() {
-  if (timer_) loop_.cancel(*timer_);
-  if (stream_) stream_->close();
-}
+Coordinator::~Coordinator() { hang_up(); }
 
 void Coordinator::connect() {
   part_ = Part::status;
   chunked_ = false;
   line_.clear();
   data_.clear();
-  heard_ = loop_.now();
+  heard_ = began_ = loop_.now();
   stream_ = std::make_shared<Stream>(loop_, address_, kConnectTimeout, static_cast<Stream::Owner&>(*this),
                                      Rank::news);
   watch_silence();
@@ -60,11 +60,9 @@
 void Coordinator::retry(const char* why) {
   log_.line("coordinator: stream %s, asked again after event %llu", why,
             static_cast<unsigned long long>(index_));
-  if (stream_) {
-    stream_->close();
-    loop_.bury(std::exchange(stream_, nullptr));
-  }
-  if (timer_) loop_.cancel(*timer_);
+  const bool lasted = stream_ && stream_->came_up() && loop_.now() - began_ >= kLasting;
+  hang_up();
+  if (lasted) pause_ = Duration{0};
   timer_ = loop_.at(loop_.now() + pause_, [this] {
     timer_.reset();
     connect();
@@ -72,6 +70,23 @@
   pause_ = std::clamp(pause_ * 2, kFirstPause, kLongestPause);
 }
 
+void Coordinator::hang_up() {
+  if (stream_) {
+    stream_->close();
+    loop_.bury(std::exchange(stream_, nullptr));
+  }
+  if (timer_) loop_.cancel(*std::exchange(timer_, std::nullopt));
+}
+
+void Coordinator::move(const sockaddr_in& address) {
+  if (address.sin_addr.s_addr == address_.sin_addr.s_addr && address.sin_port == address_.sin_port) return;
+  address_ = address;
+  log_.line("coordinator: moved to %s", address_text(address_).c_str());
+  hang_up();
+  pause_ = Duration{0};
+  connect();
+}
+
 void Coordinator::connected(Stream& stream) {
   stream.send({"GET /v2/stream HTTP/1.1\r\nHost: " + address_text(address_) +
                    "\r\nAccept: text/event-stream\r\nLast-Event-ID: " + std::to_string(index_) + "\r\n\r\n",
@@ -118,7 +133,6 @@
   if (part_ == Part::headers) {
     if (line.empty()) {
       part_ = chunked_ ? Part::chunk_size : Part::body;
-      pause_ = kFirstPause;  // not nought: a stream that ends at once would be asked without a pause
       return true;
     }
     const auto colon = line.find(':');
--- a/src/net/coordinator.hpp
+++ b/src/net/coordinator.hpp
@@ -19,6 +19,9 @@
   Coordinator(Loop& loop, Logger& log, const sockaddr_in& address, std::uint64_t index, OnNews on_news);
   ~Coordinator() override;
 
+  // The coordinator is at another address from now on; the numbers of the events go on.
+  void move(const sockaddr_in& address);
+
  private:
   enum class Part { status, headers, body, chunk_size, chunk, chunk_end };
 
@@ -27,6 +30,7 @@
   void lost(Stream& stream, Lost how) override;
 
   void connect();
+  void hang_up();
   void retry(const char* why);
   void watch_silence();
   bool head_line(std::string_view line);
@@ -46,6 +50,7 @@
   std::string line_{};  // of the event stream, as far as it has come
   std::string data_{};
   Time heard_{};
+  Time began_{};  // of the stream
   Duration pause_{};
   std::optional<Loop::TimerId> timer_{};
 };
--- a/tests/process_test.cpp
+++ b/tests/process_test.cpp
@@ -93,6 +93,37 @@
       << "a call that stands was cut by the stop";
 }
 
+// SIGHUP under load: a bad file is one line and changes nothing; a good one moves the news to the
+// coordinator's new address, where the numbers go on, and the call under way is answered on its old
+// connection.
+TEST_F(Process, SighupMovesToTheNewCoordinatorAndNothingElse) {
+  start(config());
+  Peer server, stream;
+  until([&] { return static_cast<bool>(server = listener.accept()); }, "its connection");
+  until([&] { return static_cast<bool>(stream = coordinator.accept()); }, "its stream");
+  hears(stream, "Last-Event-ID: 1\r\n");
+  Peer gateway = Peer::connect(address);
+  gateway.say(setup(0xaa, "d"));
+  hears(server, "00000000000000aa");
+  const std::string file = directory + "/config.json";
+  acme::replace_file(file, "{\"listen\":");
+  ::kill(pid, SIGHUP);
+  until([&] { return log().find("; the old one goes on") != std::string::npos; }, "the complaint");
+  EXPECT_FALSE(stream.ended());
+  stream.say("HTTP/1.1 200 OK\r\n\r\ndata: {\"index\":2,\"endpoints\":{\"hosts\":[]}}\n\ndata: {\"ind");
+  Listener moved;
+  std::string fresh = config();
+  const std::string old = address_text(coordinator.address());
+  acme::replace_file(file, fresh.replace(fresh.find(old), old.size(), address_text(moved.address())));
+  ::kill(pid, SIGHUP);
+  Peer next;
+  until([&] { return static_cast<bool>(next = moved.accept()); }, "the new stream");
+  hears(next, "Last-Event-ID: 2\r\n");
+  until([&] { return stream.ended(); }, "the end of the old stream");
+  server.say("{\"op\":\"accept\",\"call\":\"00000000000000aa\",\"with\":{},\"desc\":\"s\"}\n");
+  hears(gateway, binary(9, 0xaa, {{210, "s"}}));
+}
+
 TEST_F(Process, ABadConfigurationIsNamedInOneLine) {
   const std::string good = config();
   const auto complains = [&](const std::string& text, const std::vector<std::string>& options,
