Stop unsound callers at the front and give back the places their set-ups took

Other bad callers got no word: unknown message types and a second set-up under an id in use were ignored (BinaryFront::take, take_setup), silent connections kept until 60 s. An id of nought made a setup server close the connection that all calls share.

Changed: the module gives a faulty set-up's place back and tries it at two servers at most; the front fails unsound figures, missing descriptions and ids in use at once, closes on types that callers do not send before their body, and reclaims silent, half-said, unread and unused connections; the server side says what it can carry. A set-up is taken back only on its own connection; releases without a home go to a caller that is known.

--- a/src/controller.cpp
+++ b/src/controller.cpp
@@ -50,6 +50,8 @@
 constexpr Duration kRateMemory = seconds(20);
 // A fading count below this is nothing.
 constexpr double kQuietCount = 0.01;
+// A call that as many servers could make nothing of is at fault itself.
+constexpr unsigned kMostFaults = 2;
 // Weight of a server's share of the lines against its share of the calls' first choices.
 constexpr double kLinesWeight = 0.25;
 // Calls assumed before any was seen.
@@ -95,6 +97,7 @@
   Time sent_at{};                 // the last attempt
   bool over_share = false;        // beyond its tenant's share when it came
   unsigned attempts = 0;          // sent so far
+  unsigned faults = 0;            // of these, ended as a fault
   int out_with_it = 1;            // out at the server then, this one counted
   std::optional<ServerId> out{};  // where its attempt is out
   bool answered = false;          // the caller has its answer; an attempt may still be out
@@ -106,6 +109,8 @@
   Duration width{};
   std::optional<Time> last_sent{};
   std::optional<Duration> spacing{};  // this sender's recent spacing of set-ups
+  std::optional<Time> sent_before{};  // both as they were before the last send
+  std::optional<Duration> spacing_before{};
 
   // A refusal that came after a wait tells how much work was in line: `waited` is this front's part of it.
   void raise(Duration waited = Duration{0}, int rises = 1, Duration usual = Duration{0}) {
@@ -118,6 +123,8 @@
     if (width < kLeastGap) width = Duration{0};
   }
   void sent(Time now) {
+    sent_before = last_sent;
+    spacing_before = spacing;
     if (last_sent) {
       const Duration newest = now - *last_sent;
       const Duration before = spacing.value_or(newest);
@@ -125,6 +132,12 @@
     }
     last_sent = now;
   }
+  // The set-up of that time was no work: its place is free for the next, if none has taken it.
+  void give_back(Time sent) {
+    if (last_sent != sent) return;
+    last_sent = sent_before;
+    spacing = spacing_before;
+  }
   Time opens(Duration least = Duration{0}) const {
     return last_sent ? *last_sent + std::max(width, least) : Time::min();
   }
@@ -139,6 +152,11 @@
     value = count(now) + 1;
     at = now;
   }
+  // What came at `then` is not counted any more.
+  void take_back(Time then, Time now) {
+    value = std::max(count(now) - std::exp(-ratio(now - then, kRateMemory)), 0.0);
+    at = now;
+  }
 };
 
 struct Server {
@@ -329,10 +347,22 @@
                          ended.ending == Ending::cancelled;
     if (guarded) call.not_before = now_ + settings_.release_guard;
     if (ended.cause == Cause::number_busy) crowd(call);
+    if (ended.ending == Ending::fault && ended.cause == Cause::none) note_fault(call, ended.server);
     if (!may_go_on(call, ended)) finish(ended.call);
   }
 
+  // A server turned away what it could make nothing of. Such calls come in floods from broken callers: they
+  // must not use up the gaps of good ones, nor count as what the servers were planned for.
+  void note_fault(Call& call, const ServerId& at) {
+    if (const auto server = servers_.find(at); server != servers_.end())
+      server->second.gap.give_back(call.sent_at);
+    if (++call.faults > 1 || crowded(call)) return;
+    arrivals_.take_back(call.arrived, now_);
+    named_[call.asked.first_choice].take_back(call.arrived, now_);
+  }
+
   bool may_go_on(const Call& call, const AttemptEnded& ended) const {
+    if (call.faults >= kMostFaults) return false;
     if (ended.ending == Ending::completed || ended.ending == Ending::not_sent) return false;
     if (ended.cause == Cause::number_busy) return false;  // another server has no more lines of that number
     if (call.attempts >= settings_.attempts_cap) return false;
--- a/src/core/planner.cpp
+++ b/src/core/planner.cpp
@@ -9,7 +9,7 @@
 
 // More calls at once than the memory is meant for are turned away unseen.
 constexpr std::size_t kMostCalls = 30000;
-constexpr std::size_t kMostPast = 50000;
+constexpr std::size_t kMostPast = 20000;
 constexpr Duration kStayAwayWhenFull = std::chrono::seconds(1);
 
 // The number called as the controller's key: 16 hex digits as they are, anything else by its FNV-1a hash.
@@ -89,6 +89,9 @@
     log_.line("call %s: a second set-up with its id, ignored", call_text(call).c_str());
     return;
   }
+  // Every set-up gets a new id. One that is over may still be heard of by its id, and a broken caller that
+  // asks under one id without end must not make an attempt of each.
+  if (past_.count(call) > 0) return front.fail(call, Failure::error);
   const auto& names = start_.class_names;
   const auto name = std::find(names.begin(), names.end(), request.call_class);
   if (name == names.end()) {
@@ -96,11 +99,17 @@
     return front.fail(call, Failure::error);
   }
   if (calls_.size() >= kMostCalls) return front.refuse(call, kStayAwayWhenFull);
+  if (!Servers::can_carry({call, request.call_class, request.number, request.description, {}})) {
+    log_.line("call %s: nothing a setup server can read, failed", call_text(call).c_str());
+    return front.fail(call, Failure::error);
+  }
   CallArrived event;
   event.call = call;
   event.call_class = static_cast<unsigned>(name - names.begin());
   event.key = key_of(request.number);
-  if (!request.patience) request.patience = start_.settings.classes[event.call_class].deadline;
+  // No caller waits longer than its class lets it, whatever it says.
+  const Duration longest = start_.settings.classes[event.call_class].deadline;
+  if (!request.patience || (longest > Duration{0} && *request.patience > longest)) request.patience = longest;
   event.patience = *request.patience - std::max(loop_.now() - request.came, Duration{0});
   event.first_choice = request.first_choice;
   event.advised = request.advised;
--- a/src/front/binary.cpp
+++ b/src/front/binary.cpp
@@ -3,6 +3,7 @@
 #include <sys/socket.h>
 
 #include <algorithm>
+#include <cerrno>
 #include <charconv>
 #include <cmath>
 #include <utility>
@@ -37,8 +38,18 @@
 constexpr std::size_t kHead = 9;    // type and call
 constexpr std::size_t kLongestMessage = 16 * 1024;
 constexpr std::size_t kMostHomeless = 10000;
-constexpr Duration kIdleLimit = std::chrono::seconds(60);
-constexpr Duration kSweep = std::chrono::seconds(5);
+// A caller that sends no whole message for this long sends none at all, and is owed a close within 3 s.
+constexpr Duration kFirstWord = std::chrono::milliseconds(2000);
+// Nothing takes longer than this on its way, be it the rest of a message or what a caller is to read.
+constexpr Duration kLongestStall = std::chrono::milliseconds(2000);
+constexpr Duration kLongestUnread = std::chrono::seconds(5);
+constexpr Duration kIdleLimit = std::chrono::seconds(10);
+constexpr Duration kSweep = std::chrono::milliseconds(250);
+constexpr Duration kNoDescriptors = std::chrono::milliseconds(100);
+// Set-ups that one connection may have open: a flood on one leaves room for the others.
+constexpr std::size_t kMostOpen = 400;
+constexpr Duration kStayAwayInFlood = std::chrono::seconds(1);
+constexpr double kLargestFigure = 1e6;
 
 std::uint16_t big_endian(std::string_view bytes) {
   return static_cast<std::uint16_t>(static_cast<std::uint8_t>(bytes[0]) << 8 |
@@ -69,19 +80,34 @@
   return value;
 }
 
-// "dest:2;width:1;via:-1;again:1"
-void read_figures(std::string_view text, Request& request) {
+// "dest:2;width:1;via:-1;again:1"; false if a figure is none or out of range.
+bool read_figures(std::string_view text, Request& request) {
   while (!text.empty()) {
     const auto item = text.substr(0, text.find(';'));
     text.remove_prefix(std::min(text.size(), item.size() + 1));
     const auto name = item.substr(0, item.find(':'));
     const auto value = name.size() < item.size() ? number(item.substr(name.size() + 1)) : std::nullopt;
-    if (!value) continue;
-    const int figure = static_cast<int>(std::clamp(*value, -1.0, 1e6));
+    if (!value || *value < -1 || *value > kLargestFigure || (name == "width" && *value <= 0)) return false;
+    const int figure = static_cast<int>(*value);
     if (name == "dest") request.first_choice = figure;
     if (name == "via") request.advised = figure;
     if (name == "again") request.cut = figure > 0;
   }
+  return true;
+}
+
+// What callers send; of what they do not, nothing is awaited.
+bool from_callers(char type) {
+  switch (static_cast<Type>(type)) {
+    case Type::setup:
+    case Type::progress:
+    case Type::release:
+    case Type::heard:
+    case Type::test:
+      return true;
+    default:
+      return false;
+  }
 }
 
 // A message as it is built: the length comes last.
@@ -148,9 +174,10 @@
 // ---- Connections
 
 // At the limit callers wait in the kernel's line until there is room, or a connection that may be closed for
-// them.
+// them; so they do while the process is out of descriptors.
 short BinaryFront::interest() const {
-  const bool room = connections_.size() < most_connections_ || longest_idle() != connections_.end();
+  if (loop_.now() < accepts_from_) return 0;
+  const bool room = connections_.size() < most_connections_ || least_missed() != connections_.end();
   return room ? POLLIN : 0;
 }
 
@@ -159,43 +186,68 @@
   if (connections_.size() >= most_connections_ && !make_room()) return;
   while (connections_.size() < most_connections_) {
     Fd fd(::accept(listener_.get(), nullptr, nullptr));
-    if (!fd) return;
+    if (!fd) {
+      // The connection stays in line and would wake the loop at once, again and again.
+      if (errno != EMFILE && errno != ENFILE && errno != ENOBUFS && errno != ENOMEM) return;
+      log_.line("caller: no descriptor left, connections have to wait");
+      accepts_from_ = loop_.now() + kNoDescriptors;
+      make_room();
+      return;
+    }
     Connection connection;
+    connection.came = loop_.now();
     connection.stream =
         std::make_shared<Stream>(loop_, std::move(fd), static_cast<Stream::Owner&>(*this), Rank::callers);
     Stream& stream = *connection.stream;
     connections_.emplace(&stream, std::move(connection));
-    for (Segment& segment : std::exchange(homeless_, {})) stream.send(std::move(segment));
   }
 }
 
-BinaryFront::Connections::const_iterator BinaryFront::longest_idle() const {
-  auto oldest = connections_.end();
+// The one to be closed if room is needed: of the unused ones those that have said nothing yet, then those
+// that only asked for a test, then the others; of equals the one quiet for longest.
+BinaryFront::Connections::const_iterator BinaryFront::least_missed() const {
+  auto least = connections_.end();
+  const auto rank = [](const Connection& of) {
+    return std::pair(std::min(of.standing, Standing::asked), of.stream->last_used());
+  };
   for (auto each = connections_.begin(); each != connections_.end(); ++each) {
-    if (!each->second.open.empty() || !each->second.stream->unsent().empty()) continue;
-    if (oldest == connections_.end() ||
-        each->second.stream->last_used() < oldest->second.stream->last_used()) {
-      oldest = each;
-    }
+    if (!each->second.unused()) continue;
+    if (least == connections_.end() || rank(each->second) < rank(least->second)) least = each;
   }
-  return oldest;
+  return least;
 }
 
 bool BinaryFront::make_room() {
-  const auto oldest = longest_idle();
-  if (oldest == connections_.end()) return false;
-  close(oldest, "room needed");
+  const auto least = least_missed();
+  if (least == connections_.end()) return false;
+  close(least, "room needed");
   return true;
 }
 
-// Connections that nobody uses are reclaimed; one on which no set-up is open may be closed at any time.
+// Why a connection is to be closed by now, if it is.
+const char* BinaryFront::overstayed(const Connection& connection) const {
+  const Time now = loop_.now();
+  if (connection.cut_short && now - *connection.cut_short > kLongestStall) return "half a message";
+  if (!connection.stream->unsent().empty()) {
+    return now - connection.stream->last_written() > kLongestUnread ? "does not read" : nullptr;
+  }
+  if (!connection.open.empty()) return nullptr;
+  if (connection.standing == Standing::silent && now - connection.came > kFirstWord) return "said nothing";
+  return now - connection.stream->last_used() > kIdleLimit ? "idle" : nullptr;
+}
+
+// Connections that nobody uses are reclaimed, so that silent callers cannot hold what others need.
 void BinaryFront::sweep() {
-  for (auto each = connections_.begin(); each != connections_.end();) {
-    const auto next = std::next(each);
-    const bool idle = each->second.open.empty() && each->second.stream->unsent().empty();
-    if (idle && loop_.now() - each->second.stream->last_used() > kIdleLimit) close(each, nullptr);
-    each = next;
+  std::vector<const Stream*> over;
+  for (const auto& [stream, connection] : connections_) {
+    if (overstayed(connection)) over.push_back(stream);
+  }
+  for (const Stream* const stream : over) {
+    const auto found = connections_.find(stream);
+    if (found == connections_.end()) continue;
+    if (const char* const why = overstayed(found->second)) close(found, why);
   }
+  send_homeless();
   sweep_timer_ = loop_.at(loop_.now() + kSweep, [this] { sweep(); });
 }
 
@@ -235,17 +287,25 @@
 void BinaryFront::arrived(Stream& stream) {
   while (stream.alive()) {
     const std::string_view input = stream.input();
-    if (input.size() < kPrefix) return;
+    if (input.size() < kPrefix) break;
     const std::size_t length = big_endian(input);
     const auto found = connections_.find(&stream);
     if (found == connections_.end()) return;
-    if (length < kHead || length > kLongestMessage) return close(found, "malformed message");
-    if (input.size() < kPrefix + length) return;
+    // No body is awaited of what cannot be right.
+    if (length < kHead || length > kLongestMessage ||
+        (input.size() > kPrefix && !from_callers(input[kPrefix]))) {
+      return close(found, "malformed message");
+    }
+    if (input.size() < kPrefix + length) break;
+    found->second.cut_short.reset();
     const bool good = take(found->second, input.substr(kPrefix, length));
     if (!stream.alive()) return;
     if (!good) return close(connections_.find(&stream), "malformed message");
     stream.consume(kPrefix + length);
   }
+  const auto found = connections_.find(&stream);
+  if (found == connections_.end() || stream.input().empty() || found->second.cut_short) return;
+  found->second.cut_short = loop_.now();
 }
 
 bool BinaryFront::take(Connection& from, std::string_view message) {
@@ -263,6 +323,7 @@
       take_release(from, call, parameters);
       return true;
     case Type::test:
+      from.standing = std::max(from.standing, Standing::tested);
       from.stream->send(
           Message(Type::tested, call).put_cause(core_.ready() ? 1 : 0).finish(tag(Kind::other)));
       return true;
@@ -275,21 +336,42 @@
   Request request;
   request.call = call;
   request.came = loop_.now();
+  bool sound = true;
   std::string_view value;
   for (Code code{}; !parameters.empty() && next_parameter(parameters, code, value);) {
     if (code == Code::call_class) request.call_class = value;
     if (code == Code::number) request.number = value;
     if (code == Code::description) request.description = value;
     if (code == Code::retry) request.redialled = value == "1";
-    if (code == Code::figures) read_figures(value, request);
+    if (code == Code::figures) sound &= read_figures(value, request);
     if (code == Code::patience) {
       const auto ms = number(value);
-      if (!ms) return false;
-      request.patience = from_ms(std::max(*ms, 0.0));
+      sound &= ms && *ms >= 0;
+      if (sound) request.patience = from_ms(*ms);
+    }
+  }
+  if (const auto known = calls_.find(call); known != calls_.end()) {
+    // A second set-up under an id that is in use. On the connection of the first nobody can tell them apart,
+    // so an open one fails as well; on another one it harms no one.
+    log_.line("caller: a set-up came twice, failed");
+    if (from.open.erase(call) > 0) {
+      calls_.erase(known);
+      core_.withdraw(call);
     }
+    turn_away(from, call);
+    return true;
+  }
+  if (!sound || request.description.empty()) {
+    log_.line("caller: a set-up with a figure out of range or without a description, failed");
+    turn_away(from, call);
+    return true;
   }
-  if (calls_.count(call) > 0) {
-    log_.line("caller: a set-up came twice, ignored");
+  if (from.open.size() >= kMostOpen) {
+    from.stream->send(
+        Message(Type::release, call)
+            .put_cause(cause::kCongestion)
+            .put(Code::stay_away, std::to_string(kStayAwayInFlood / std::chrono::milliseconds(1)))
+            .finish(tag(Kind::other)));
     return true;
   }
   from.open.insert(call);
@@ -298,6 +380,12 @@
   return true;
 }
 
+// The set-up fails here and now.
+void BinaryFront::turn_away(Connection& from, CallId call) {
+  from.standing = std::max(from.standing, Standing::tested);
+  from.stream->send(Message(Type::release, call).put_cause(cause::kTemporary).finish(tag(Kind::other)));
+}
+
 void BinaryFront::take_release(Connection& from, CallId call, std::string_view parameters) {
   int cause = cause::kNormal;
   std::string_view value;
@@ -306,9 +394,12 @@
   }
   from.stream->send(Message(Type::heard, call).finish(tag(Kind::other)));
   Connection* const owner = owner_of(call);
-  const bool open = owner && owner->open.erase(call) > 0;
+  const bool open = owner && owner->open.count(call) > 0;
+  // A call that stands may be ended from anywhere, a set-up is taken back by who made it.
+  if (open && owner != &from) return;
   calls_.erase(call);
   if (open) {
+    owner->open.erase(call);
     core_.withdraw(call);
   } else {
     core_.release(call, cause);
@@ -333,6 +424,7 @@
 
 void BinaryFront::answer(CallId call, std::string description) {
   if (Connection* const to = settle(call)) {
+    to->standing = Standing::served;
     to->stream->send(Message(Type::answer, call).finish(tag(Kind::answer), std::move(description)));
   }
 }
@@ -341,6 +433,7 @@
   Connection* const to = settle(call);
   calls_.erase(call);
   if (!to) return;
+  to->standing = std::max(to->standing, Standing::asked);
   Message message(Type::release, call);
   message.put_cause(cause::kCongestion);
   if (stay_away) message.put(Code::stay_away, std::to_string(*stay_away / std::chrono::milliseconds(1)));
@@ -355,17 +448,33 @@
   to->stream->send(Message(Type::release, call).put_cause(cause).finish(tag(Kind::other)));
 }
 
-// On the call's own connection, on any other, or on the next that opens.
+// On the call's own connection, on that of the best known caller, or on the next that shows itself to be one.
 void BinaryFront::over(CallId call, int cause) {
   Connection* to = owner_of(call);
   calls_.erase(call);
-  if (!to && !connections_.empty()) to = &connections_.begin()->second;
+  if (!to) to = best_known();
   Segment segment = Message(Type::release, call).put_cause(cause).finish(tag(Kind::over));
-  if (to) {
+  if (to && to->standing >= Standing::asked) {
     to->stream->send(std::move(segment));
   } else if (homeless_.size() < kMostHomeless) {
     homeless_.push_back(std::move(segment));
   }
 }
 
+BinaryFront::Connection* BinaryFront::best_known() {
+  Connection* best = nullptr;
+  const auto rank = [](const Connection& of) { return std::pair(of.standing, of.stream->last_used()); };
+  for (auto& [stream, connection] : connections_) {
+    if (!best || rank(*best) < rank(connection)) best = &connection;
+  }
+  return best;
+}
+
+// A short wait has shown nobody better: whoever is connected hears it.
+void BinaryFront::send_homeless() {
+  if (homeless_.empty() || connections_.empty()) return;
+  Connection* const to = best_known();
+  for (Segment& segment : std::exchange(homeless_, {})) to->stream->send(std::move(segment));
+}
+
 }  // namespace quartzarch
--- a/src/front/binary.hpp
+++ b/src/front/binary.hpp
@@ -29,9 +29,16 @@
   void over(CallId call, int cause) override;
 
  private:
+  // What its caller has shown itself to be; releases without a home go to the best there is.
+  enum class Standing { silent, tested, asked, served };
   struct Connection {
     std::shared_ptr<Stream> stream{};
     std::set<CallId> open{};  // set-ups without an answer
+    Time came{};
+    Standing standing = Standing::silent;
+    std::optional<Time> cut_short{};  // since when a message has been waiting for its rest
+
+    bool unused() const { return open.empty() && stream->unsent().empty(); }
   };
   using Connections = std::map<const Stream*, Connection>;
 
@@ -43,13 +50,17 @@
 
   bool take(Connection& from, std::string_view message);
   bool take_setup(Connection& from, CallId call, std::string_view parameters);
+  void turn_away(Connection& from, CallId call);
   void take_release(Connection& from, CallId call, std::string_view parameters);
   Connection* owner_of(CallId call);
   Connection* settle(CallId call);
   void close(Connections::const_iterator connection, const char* why);
-  Connections::const_iterator longest_idle() const;
+  const char* overstayed(const Connection& connection) const;
+  Connections::const_iterator least_missed() const;
   bool make_room();
   void sweep();
+  Connection* best_known();
+  void send_homeless();
 
   Loop& loop_;
   Logger& log_;
@@ -57,9 +68,10 @@
   Fd listener_;
   std::size_t most_connections_;
   Loop::TimerId sweep_timer_ = 0;
+  Time accepts_from_{};  // out of descriptors before
   Connections connections_;
   std::unordered_map<CallId, const Stream*> calls_;  // open and standing ones, by the connection they came on
-  std::deque<Segment> homeless_;                     // releases while no caller is connected
+  std::deque<Segment> homeless_;                     // releases that no known caller is connected for
 };
 
 }  // namespace quartzarch
--- a/src/net/server_lines.cpp
+++ b/src/net/server_lines.cpp
@@ -215,6 +215,8 @@
   return out;
 }
 
+bool is_utf8(std::string_view text) { return simdjson::validate_utf8(text.data(), text.size()); }
+
 std::string call_text(CallId call) {
   char digits[17];
   std::snprintf(digits, sizeof digits, "%016llx", static_cast<unsigned long long>(call));
--- a/src/net/server_lines.hpp
+++ b/src/net/server_lines.hpp
@@ -31,6 +31,9 @@
 // `text` as the inside of a JSON string; bytes beyond ASCII pass unchanged.
 std::string json_escaped(std::string_view text);
 
+// No byte of it is out of place in UTF-8.
+bool is_utf8(std::string_view text);
+
 // 16 hex digits, and back; nothing if they are not.
 std::string call_text(CallId call);
 std::optional<CallId> parse_call(std::string_view digits);
--- a/src/net/servers.cpp
+++ b/src/net/servers.cpp
@@ -12,6 +12,8 @@
 using std::chrono::milliseconds;
 
 constexpr std::size_t kLongestLine = 64 * 1024;  // a message of 16 KiB, every byte escaped
+constexpr std::size_t kLongestMessage = 16 * 1024;
+constexpr std::size_t kLongestLeft = 16;  // digits of the time that is left
 constexpr std::size_t kMostWaiting = 4096;
 constexpr Duration kFirstPause = milliseconds(250);
 constexpr Duration kLongestPause = milliseconds(4000);
@@ -47,6 +49,12 @@
 
 }  // namespace
 
+bool Servers::can_carry(const Offer& offer) {
+  const Segment line = offer_segment(offer, Duration{0});
+  return offer.call != 0 && line.head.size() + line.body.size() + kLongestLeft <= kLongestMessage &&
+         is_utf8(offer.call_class) && is_utf8(offer.number) && is_utf8(offer.description);
+}
+
 std::string server_text(const ServerId& server) { return address_text(socket_address(server)); }
 
 Servers::~Servers() {
--- a/src/net/servers.hpp
+++ b/src/net/servers.hpp
@@ -42,6 +42,10 @@
       : loop_(loop), log_(log), owner_(owner), connect_timeout_(connect_timeout) {}
   ~Servers() override;
 
+  // False for a set-up at which a setup server would close the connection, with all that is out on it: no id,
+  // text that is no UTF-8, or a line longer than a message may be.
+  static bool can_carry(const Offer& offer);
+
   // Keeps a connection open to the server, so that its news arrives.
   void keep(const ServerId& server);
   // Closes it: whatever runs there now, it is not what was known.
--- a/src/net/stream.cpp
+++ b/src/net/stream.cpp
@@ -18,6 +18,7 @@
 constexpr std::size_t kReadAtOnce = 64 * 1024;
 // One that takes nothing is given up before it fills the memory.
 constexpr std::size_t kLongestOutput = 1024 * 1024;
+constexpr std::size_t kKeptInput = 4 * 1024;
 constexpr std::size_t kGathered = 64;
 
 void set_up(int fd) {
@@ -68,6 +69,7 @@
 void Stream::send(Segment segment) {
   if (state_ == State::dead) return;
   last_used_ = loop_.now();
+  if (output_.empty()) last_written_ = loop_.now();
   queued_ += segment.head.size() + segment.body.size();
   output_.push_back(std::move(segment));
   if (flush_due_) return;
@@ -133,6 +135,12 @@
   }
   last_used_ = loop_.now();
   if (input_.size() > had) owner_.arrived(*this);
+  // What one long message took up is given back: hundreds of connections would keep it for good.
+  if (taken_ == input_.size()) {
+    taken_ = 0;
+    input_.clear();
+    if (input_.capacity() > kKeptInput) input_.shrink_to_fit();
+  }
   if (end && state_ == State::up) fail(*end);
 }
 
@@ -157,6 +165,7 @@
       return queued_ > kLongestOutput ? fail(Lost::reset) : read();
     }
     written_ += static_cast<std::size_t>(sent);
+    last_written_ = loop_.now();
     while (!output_.empty()) {
       const std::size_t size = output_.front().head.size() + output_.front().body.size();
       if (written_ < size) break;
--- a/src/net/stream.hpp
+++ b/src/net/stream.hpp
@@ -52,6 +52,8 @@
   bool came_up() const { return came_up_; }
   bool alive() const { return state_ != State::dead; }
   Time last_used() const { return last_used_; }
+  // When the peer took something last, or what it has not taken yet was queued.
+  Time last_written() const { return last_written_; }
   // Writes what the socket takes at once, then closes.
   void close();
 
@@ -80,6 +82,7 @@
   bool came_up_ = false;
   std::optional<Loop::TimerId> connect_timer_;
   Time last_used_{};
+  Time last_written_{};
   // Steps of the loop that outlive the stream find it gone by this.
   std::shared_ptr<bool> living_ = std::make_shared<bool>(true);
 };
--- a/tests/controller_test.cpp
+++ b/tests/controller_test.cpp
@@ -170,6 +170,26 @@
 }
 
 // Guards against hasty retries into a full processor: its wait is near the aims already.
+// Broken callers send floods of what no server can use: it must not take the places of good calls behind a
+// gap.
+TEST(Gap, AFaultySetupLeavesItsPlaceToTheNextAndIsTriedTwiceAtMost) {
+  Settings settings = plain_settings();
+  settings.classes[0].pools = {1};
+  Front front(settings, {entry(1)});
+  front.call(1);
+  front.stands(1, 1, milliseconds(900));  // late: the gap is a second wide by now
+  front.call(2);
+  front.run_until(seconds(2));
+  ASSERT_EQ(front.sent_to(1), 2u);
+  front.ends(2, 1, Ending::fault);
+  EXPECT_EQ(front.sent_to(1), 3u) << "its place was not given back";
+  front.call(3);
+  EXPECT_EQ(front.sent_to(1), 3u);
+  front.ends(2, 1, Ending::fault);
+  EXPECT_EQ(front.answers(2), 1u);
+  EXPECT_EQ(front.sent_to(1), 4u) << "the next call waits although nothing was done";
+}
+
 TEST(Gap, FullProcessorIsLeftAloneForOneAim) {
   Front front(plain_settings(), {entry(1)});
   front.call(1);
