Keep a few connections to each server, drop spoilt ones, and read no load from it

Half lines on an open connection held everything behind them until the callers left (Servers::arrived waits for a line feed up to 64 KiB).

Changed: up to four connections to a server, opened as set-ups are out; one that brings noise, a line over 16 KiB or half a line for 0.3 s is closed. AttemptEnded says connection_lost, which keeps the release guard and judges nobody's load. Lines are read strictly (UTF-8, control bytes, numbers, an answer's description). Releases of the last second go out again after their connection broke. Answers to unknown ids are ignored, not released.

Checked: five tests.

--- a/include/quartzarch/controller.hpp
+++ b/include/quartzarch/controller.hpp
@@ -113,7 +113,8 @@
 };
 
 enum class Ending { fault, completed, full, timed_out, not_connected, reset, cancelled, not_sent };
-enum class Cause { none, no_circuit, turned_back, processor_full, number_busy };
+// Of these connection_lost alone is no word of the server's: the set-up was lost on its way there or back.
+enum class Cause { none, no_circuit, turned_back, processor_full, number_busy, connection_lost };
 
 struct AttemptEnded {
   CallId call = 0;
--- a/src/controller.cpp
+++ b/src/controller.cpp
@@ -374,6 +374,8 @@
     if (ended.ending == Ending::full) {
       raise(server, ended.cause == Cause::no_circuit ? "no line free" : "processor full");
     }
+    // What failed on the way tells nothing of the server's load or health.
+    if (ended.cause == Cause::connection_lost) return;
     if (ended.ending == Ending::not_connected) shun(server, "out of reach");
     if (ended.ending == Ending::reset) shun(server, "set-up cut");
     if (ended.ending == Ending::timed_out && !before_rise(server, sent)) {
--- a/src/core/planner.cpp
+++ b/src/core/planner.cpp
@@ -149,6 +149,8 @@
   Exchange* const exchange = find(line.call);
   const bool current = exchange && exchange->attempt && exchange->attempt->left &&
                        exchange->attempt->server == server && !exchange->stands();
+  // An answer to what was never asked here.
+  if (!exchange && past_.count(line.call) == 0) return;
   // A late answer to a set-up that was given up: nobody will ever use the call.
   if (!current || !exchange->owed()) {
     if (exchange && exchange->stands() && exchange->attempt->server == server) return;  // told twice
@@ -184,10 +186,12 @@
   attempt_ended(*exchange, refusal_of(line.why), cause_of(line.note), report);
 }
 
-void Planner::broke(const ServerId& server, CallId call, bool arrived) {
+void Planner::broke(const ServerId& server, CallId call, Break how) {
   Exchange* const exchange = find(call);
   if (!exchange || !exchange->attempt || exchange->attempt->server != server || exchange->stands()) return;
-  attempt_ended(*exchange, arrived ? Ending::reset : Ending::not_connected);
+  // A connection that broke says nothing of the process behind it; one that cannot be made does.
+  attempt_ended(*exchange, how == Break::sent ? Ending::reset : Ending::not_connected,
+                how == Break::unreachable ? Cause::none : Cause::connection_lost);
 }
 
 void Planner::told(const ServerId& server, const LoadReport& report) {
--- a/src/core/planner.hpp
+++ b/src/core/planner.hpp
@@ -37,7 +37,7 @@
 
   void stood(const ServerId& server, ServerLine line) override;
   void released(const ServerId& server, const ServerLine& line) override;
-  void broke(const ServerId& server, CallId call, bool arrived) override;
+  void broke(const ServerId& server, CallId call, Break how) override;
   void told(const ServerId& server, const LoadReport& report) override;
   void died(const ServerId& server) override;
 
--- a/src/net/server_lines.cpp
+++ b/src/net/server_lines.cpp
@@ -31,8 +31,11 @@
     if (!take('"')) return std::nullopt;
     std::string out;
     while (at_ < text_.size()) {
-      const std::size_t plain = text_.find_first_of("\"\\", at_);
-      if (plain == std::string_view::npos) return std::nullopt;
+      std::size_t plain = at_;
+      while (plain < text_.size() && text_[plain] != '"' && text_[plain] != '\\') {
+        if (static_cast<unsigned char>(text_[plain++]) < ' ') return std::nullopt;  // noise
+      }
+      if (plain == text_.size()) return std::nullopt;
       out.append(text_.substr(at_, plain - at_));
       at_ = plain + 1;
       if (text_[plain] == '"') return out;
@@ -50,8 +53,13 @@
                                   std::string_view("+-.").find(text_[at_]) != std::string_view::npos)) {
       ++at_;
     }
-    if (at_ == from) return std::nullopt;
-    return std::string(text_.substr(from, at_ - from));
+    const std::string_view word = text_.substr(from, at_ - from);
+    if (word != "true" && word != "false" && word != "null") {
+      double value = 0;
+      const auto [end, error] = std::from_chars(word.data(), word.data() + word.size(), value);
+      if (word.empty() || error != std::errc{} || end != word.data() + word.size()) return std::nullopt;
+    }
+    return std::string(word);
   }
 
   // Calls member(key) for each member; it must take the value and say whether it could.
@@ -147,6 +155,7 @@
 }  // namespace
 
 std::optional<ServerLine> parse_server_line(std::string_view text) {
+  if (!is_utf8(text)) return std::nullopt;
   ServerLine line;
   Scanner in(text);
   const auto keep = [&in](std::string& to) {
@@ -160,11 +169,12 @@
     return in.skip_value();
   };
   std::string op, call, why;
+  bool described = false;
   const bool whole = in.object([&](const std::string& key) {
     if (key == "op") return keep(op);
     if (key == "call") return keep(call);
     if (key == "why") return keep(why);
-    if (key == "desc") return keep(line.description);
+    if (key == "desc") return described = keep(line.description);
     if (key == "with") return in.object(field);
     return in.skip_value();
   });
@@ -172,6 +182,7 @@
   line.op = op_of(op);
   const auto id = parse_call(call);
   if (!id && (line.op == ServerOp::accept || line.op == ServerOp::end)) return std::nullopt;
+  if (line.op == ServerOp::accept && !described) return std::nullopt;
   line.call = id.value_or(0);
   line.why = std::atoi(why.c_str());
   return line;
--- a/src/net/servers.cpp
+++ b/src/net/servers.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cstring>
+#include <set>
 #include <utility>
 
 namespace quartzarch {
@@ -11,10 +12,14 @@
 
 using std::chrono::milliseconds;
 
-constexpr std::size_t kLongestLine = 64 * 1024;  // a message of 16 KiB, every byte escaped
 constexpr std::size_t kLongestMessage = 16 * 1024;
 constexpr std::size_t kLongestLeft = 16;  // digits of the time that is left
 constexpr std::size_t kMostWaiting = 4096;
+// A line comes in one piece or is cut: the rest will not come, nor anything else on that connection.
+constexpr Duration kLongestCut = milliseconds(300);
+constexpr Duration kWatch = milliseconds(100);
+// A release that was written this shortly before its connection broke may not have been read.
+constexpr Duration kUnreadFor = milliseconds(1000);
 constexpr Duration kFirstPause = milliseconds(250);
 constexpr Duration kLongestPause = milliseconds(4000);
 // A segment's tag: the call whose set-up it is; 0 for others.
@@ -58,7 +63,10 @@
 std::string server_text(const ServerId& server) { return address_text(socket_address(server)); }
 
 Servers::~Servers() {
-  for (auto& [id, link] : links_) close_link(link);
+  if (watch_timer_) loop_.cancel(*watch_timer_);
+  for (auto& [id, link] : links_) {
+    for (Lane& lane : link.lanes) close_lane(lane);
+  }
 }
 
 Servers::Link& Servers::link(const ServerId& server) {
@@ -67,11 +75,24 @@
   return link;
 }
 
-Servers::Link* Servers::of(const Stream& stream) {
+Servers::Place Servers::place_of(const Stream& stream) {
   for (auto& [id, link] : links_) {
-    if (link.stream.get() == &stream) return &link;
+    for (Lane& lane : link.lanes) {
+      if (lane.stream.get() == &stream) return {&link, &lane};
+    }
+  }
+  return {};
+}
+
+// Of those that are up, the first with the fewest set-ups out; one that is in the middle of a line comes
+// last.
+Servers::Lane* Servers::best_lane(Link& link) {
+  Lane* best = nullptr;
+  const auto rank = [](const Lane& lane) { return std::pair(lane.cut_short.has_value(), lane.out.size()); };
+  for (Lane& lane : link.lanes) {
+    if (lane.up() && (!best || rank(lane) < rank(*best))) best = &lane;
   }
-  return nullptr;
+  return best;
 }
 
 void Servers::keep(const ServerId& server) {
@@ -85,44 +106,59 @@
   if (found == links_.end()) return;
   Link gone = std::move(found->second);
   links_.erase(found);
-  close_link(gone);
-  for (const CallId call : std::exchange(gone.out, {})) owner_.broke(server, call, true);
-  for (const Waiting& what : std::exchange(gone.waiting, {})) {
-    if (what.is_offer) owner_.broke(server, what.offer.call, false);
+  for (Lane& lane : gone.lanes) close_lane(lane);
+  for (Lane& lane : gone.lanes) {
+    for (const auto& [call, sent] : lane.out) owner_.broke(server, call, Break::sent);
+  }
+  for (const Waiting& what : gone.waiting) {
+    if (what.is_offer) owner_.broke(server, what.offer.call, Break::unreachable);
   }
 }
 
-void Servers::close_link(Link& link) {
-  if (link.retry) loop_.cancel(*link.retry);
-  link.retry.reset();
-  if (!link.stream) return;
-  link.stream->close();
-  loop_.bury(std::exchange(link.stream, nullptr));
+void Servers::close_lane(Lane& lane) {
+  if (lane.retry) loop_.cancel(*std::exchange(lane.retry, std::nullopt));
+  if (!lane.stream) return;
+  lane.stream->close();
+  loop_.bury(std::exchange(lane.stream, nullptr));
 }
 
+// One more connection, if there is room.
 void Servers::connect(Link& link) {
-  if (link.stream) return;
-  if (link.retry) loop_.cancel(*std::exchange(link.retry, std::nullopt));
-  link.stream = std::make_shared<Stream>(loop_, socket_address(link.server), connect_timeout_,
+  for (Lane& lane : link.lanes) {
+    if (!lane.stream) return connect(link, lane);
+    if (!lane.up()) return;  // on its way already
+  }
+}
+
+void Servers::connect(Link& link, Lane& lane) {
+  if (lane.stream) return;
+  if (lane.retry) loop_.cancel(*std::exchange(lane.retry, std::nullopt));
+  lane.cut_short.reset();
+  lane.heard = loop_.now();
+  lane.stream = std::make_shared<Stream>(loop_, socket_address(link.server), connect_timeout_,
                                          static_cast<Stream::Owner&>(*this), Rank::servers);
 }
 
-void Servers::try_again(Link& link) {
-  link.pause = std::clamp(link.pause * 2, kFirstPause, kLongestPause);
-  if (!link.kept || link.retry) return;
-  link.retry = loop_.at(loop_.now() + link.pause, [this, server = link.server] {
+void Servers::try_again(Link& link, Lane& lane) {
+  lane.pause = std::clamp(lane.pause * 2, kFirstPause, kLongestPause);
+  if (!link.kept || lane.retry) return;
+  const auto index = static_cast<std::size_t>(&lane - link.lanes.data());
+  lane.retry = loop_.at(loop_.now() + lane.pause, [this, index, server = link.server] {
     const auto found = links_.find(server);
     if (found == links_.end()) return;
-    found->second.retry.reset();
-    connect(found->second);
+    found->second.lanes[index].retry.reset();
+    connect(found->second, found->second.lanes[index]);
   });
 }
 
 void Servers::offer(const ServerId& server, Offer offer) {
   Link& to = link(server);
   Waiting what{true, std::move(offer), 0};
-  if (to.stream && to.stream->up()) return write(to, what);
-  if (to.waiting.size() >= kMostWaiting) return owner_.broke(server, what.offer.call, false);
+  if (Lane* const lane = best_lane(to)) {
+    if (!lane->out.empty()) connect(to);  // the next need not share it
+    return write(*lane, what);
+  }
+  if (to.waiting.size() >= kMostWaiting) return owner_.broke(server, what.offer.call, Break::unreachable);
   to.waiting.push_back(std::move(what));
   connect(to);
 }
@@ -131,13 +167,17 @@
   const auto found = links_.find(server);
   if (found == links_.end()) return;
   Link& to = found->second;
-  to.out.erase(call);
   const auto unsent = std::erase_if(
       to.waiting, [call](const Waiting& what) { return what.is_offer && what.offer.call == call; });
   if (unsent > 0) return;  // never left
+  Lane* lane = nullptr;
+  for (Lane& each : to.lanes) {
+    if (each.out.erase(call) > 0) lane = &each;
+  }
+  if (!lane || !lane->up()) lane = best_lane(to);
   Waiting what{false, {}, cause};
   what.offer.call = call;
-  if (to.stream && to.stream->up()) return write(to, what);
+  if (lane) return write(*lane, what);
   // A call that stands survives its connection, and so does what ends it.
   if (to.waiting.size() < kMostWaiting) to.waiting.push_back(std::move(what));
   connect(to);
@@ -145,87 +185,125 @@
 
 void Servers::end_everywhere(CallId call, int cause) {
   for (auto& [id, link] : links_) {
-    if (link.stream && link.stream->up()) link.stream->send(end_segment(call, cause));
+    if (Lane* const lane = best_lane(link)) lane->stream->send(end_segment(call, cause));
   }
 }
 
-void Servers::write(Link& link, const Waiting& what) {
-  if (!what.is_offer) return link.stream->send(end_segment(what.offer.call, what.cause));
-  link.out.insert(what.offer.call);
-  link.stream->send(offer_segment(what.offer, what.offer.until - loop_.now()));
+void Servers::write(Lane& lane, const Waiting& what) {
+  if (what.is_offer) {
+    lane.out[what.offer.call] = loop_.now();
+    return lane.stream->send(offer_segment(what.offer, what.offer.until - loop_.now()));
+  }
+  while (!lane.ended.empty() && loop_.now() - lane.ended.front().first > kUnreadFor) lane.ended.pop_front();
+  lane.ended.emplace_back(loop_.now(), what);
+  lane.stream->send(end_segment(what.offer.call, what.cause));
 }
 
 void Servers::connected(Stream& stream) {
-  Link* const link = of(stream);
-  if (!link) return;
-  link->pause = Duration{0};
-  link->broken = false;
-  for (const Waiting& what : std::exchange(link->waiting, {})) write(*link, what);
+  const Place at = place_of(stream);
+  if (!at.link) return;
+  at.lane->pause = Duration{0};
+  at.link->broken = false;
+  for (const Waiting& what : std::exchange(at.link->waiting, {})) write(*at.lane, what);
 }
 
 void Servers::arrived(Stream& stream) {
   while (stream.alive()) {
     const std::string_view input = stream.input();
     const auto length = input.find('\n');
-    Link* const link = of(stream);
-    if (!link) return;
-    const bool whole = length != std::string_view::npos;
-    if (!whole && input.size() <= kLongestLine) return;
-    auto line = whole ? parse_server_line(input.substr(0, length)) : std::nullopt;
-    if (!line) {
-      log_.line("server %s: malformed line, connection closed", server_text(link->server).c_str());
-      stream.close();
-      return lost(stream, Lost::closed);
+    const Place at = place_of(stream);
+    if (!at.link) return;
+    if (length == std::string_view::npos) {
+      if (input.size() > kLongestMessage) return lose(stream, "endless line");
+      if (!input.empty() && !at.lane->cut_short) at.lane->cut_short = loop_.now();
+      return;
     }
+    at.lane->cut_short.reset();
+    at.lane->heard = loop_.now();
+    auto line = length <= kLongestMessage ? parse_server_line(input.substr(0, length)) : std::nullopt;
+    if (!line) return lose(stream, "malformed line");
     stream.consume(length + 1);
-    handle(*link, std::move(*line));
+    handle(at, std::move(*line));
   }
 }
 
-void Servers::handle(Link& link, ServerLine line) {
-  const ServerId server = link.server;
-  if (line.op == ServerOp::accept) {
-    link.out.erase(line.call);
-    owner_.stood(server, std::move(line));
-  } else if (line.op == ServerOp::end) {
-    link.out.erase(line.call);
-    owner_.released(server, line);
-  } else if (line.op == ServerOp::group) {
-    owner_.told(server, parse_load(line.load));
-  }
+void Servers::handle(const Place& at, ServerLine line) {
+  const ServerId server = at.link->server;
+  if (line.op == ServerOp::group) return owner_.told(server, parse_load(line.load));
+  if (line.op != ServerOp::accept && line.op != ServerOp::end) return;
+  // Mostly it comes on the connection of its set-up, but the server may use any.
+  for (Lane& lane : at.link->lanes) lane.out.erase(line.call);
+  if (line.op == ServerOp::accept) return owner_.stood(server, std::move(line));
+  owner_.released(server, line);
+}
+
+// After what cannot be read nothing that comes on the connection can be trusted.
+void Servers::lose(Stream& stream, const char* why) {
+  const Place at = place_of(stream);
+  if (!at.link) return;
+  log_.line("server %s: %s, connection closed", server_text(at.link->server).c_str(), why);
+  stream.close();
+  lost(stream, Lost::closed);
 }
 
 // The end of a connection gives up the set-ups on it; the calls that stand there go on. Only if the process
 // refuses the next connection is it gone, and its calls with it.
 void Servers::lost(Stream& stream, Lost how) {
-  Link* const found = of(stream);
-  if (!found) return;
-  const ServerId server = found->server;
+  const Place at = place_of(stream);
+  if (!at.link) return;
+  const ServerId server = at.link->server;
   std::set<CallId> unsent;
   for (const Segment& segment : stream.unsent()) unsent.insert(segment.tag);
-  loop_.bury(std::exchange(found->stream, nullptr));  // `stream` lives until the end of the pass
+  loop_.bury(std::exchange(at.lane->stream, nullptr));  // `stream` lives until the end of the pass
   if (stream.came_up()) {
-    const auto out = std::exchange(found->out, {});
+    const auto out = std::exchange(at.lane->out, {});
+    const auto ended = std::exchange(at.lane->ended, {});
     log_.line("server %s: connection %s, %zu set-ups out", server_text(server).c_str(),
               how == Lost::reset ? "reset" : "closed", out.size());
-    found->broken = true;
-    connect(*found);
-    for (const CallId call : out) owner_.broke(server, call, unsent.count(call) == 0);
+    at.link->broken = true;
+    connect(*at.link);
+    // What was to be released must not stay standing: said once more, which does no harm.
+    Lane* const other = best_lane(*at.link);
+    for (const auto& [when, what] : ended) {
+      if (loop_.now() - when > kUnreadFor) continue;
+      if (other) {
+        write(*other, what);
+      } else if (at.link->waiting.size() < kMostWaiting) {
+        at.link->waiting.push_back(what);
+      }
+    }
+    for (const auto& [call, sent] : out) {
+      owner_.broke(server, call, unsent.count(call) > 0 ? Break::unsent : Break::sent);
+    }
     return;
   }
+  if (best_lane(*at.link)) return;
+  const bool died = how == Lost::refused && std::exchange(at.link->broken, false);
+  try_again(*at.link, *at.lane);
   log_.line("server %s: connection %s", server_text(server).c_str(),
             how == Lost::refused ? "refused" : "not up in time");
-  const auto waiting = std::exchange(found->waiting, {});
-  const bool died = how == Lost::refused && std::exchange(found->broken, false);
-  try_again(*found);
+  const auto waiting = std::exchange(at.link->waiting, {});
   if (died) owner_.died(server);
   for (const Waiting& what : waiting) {
     if (what.is_offer) {
-      owner_.broke(server, what.offer.call, false);
+      owner_.broke(server, what.offer.call, Break::unreachable);
     } else if (const auto still = links_.find(server); still != links_.end() && !died) {
       still->second.waiting.push_back(what);
     }
   }
 }
 
+// Looks for connections that have stopped in the middle of a line.
+void Servers::watch() {
+  std::vector<std::shared_ptr<Stream>> cut;
+  for (auto& [id, link] : links_) {
+    for (Lane& lane : link.lanes) {
+      if (lane.up() && lane.cut_short && loop_.now() - *lane.cut_short > kLongestCut)
+        cut.push_back(lane.stream);
+    }
+  }
+  for (const auto& stream : cut) lose(*stream, "half a line");
+  watch_timer_ = loop_.at(loop_.now() + kWatch, [this] { watch(); });
+}
+
 }  // namespace quartzarch
--- a/src/net/servers.hpp
+++ b/src/net/servers.hpp
@@ -1,9 +1,11 @@
-// The server side: one connection to each setup server, JSON lines, and what is out on it.
+// The server side: a few connections to each setup server, JSON lines, and what is out on each.
 #pragma once
 
+#include <array>
+#include <deque>
 #include <map>
 #include <memory>
-#include <set>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -23,6 +25,10 @@
   Time until{};  // when this side stops waiting
 };
 
+// How a set-up was lost: with a connection that broke before it left whole, or after (it may have run), or
+// for want of any connection.
+enum class Break { unsent, sent, unreachable };
+
 class Servers : private Stream::Owner {
  public:
   class Owner {
@@ -31,24 +37,26 @@
     virtual void stood(const ServerId& server, ServerLine line) = 0;
     // A refusal of a set-up or the release of a call.
     virtual void released(const ServerId& server, const ServerLine& line) = 0;
-    // A set-up was lost with its connection; without `arrived` it never left.
-    virtual void broke(const ServerId& server, CallId call, bool arrived) = 0;
+    // A set-up was lost on the way.
+    virtual void broke(const ServerId& server, CallId call, Break how) = 0;
     virtual void told(const ServerId& server, const LoadReport& report) = 0;
     // Its process is gone, and with it every call there.
     virtual void died(const ServerId& server) = 0;
   };
 
   Servers(Loop& loop, Logger& log, Owner& owner, Duration connect_timeout)
-      : loop_(loop), log_(log), owner_(owner), connect_timeout_(connect_timeout) {}
+      : loop_(loop), log_(log), owner_(owner), connect_timeout_(connect_timeout) {
+    watch();
+  }
   ~Servers() override;
 
   // False for a set-up at which a setup server would close the connection, with all that is out on it: no id,
   // text that is no UTF-8, or a line longer than a message may be.
   static bool can_carry(const Offer& offer);
 
-  // Keeps a connection open to the server, so that its news arrives.
+  // Keeps connections open to the server, so that its news arrives.
   void keep(const ServerId& server);
-  // Closes it: whatever runs there now, it is not what was known.
+  // Closes them: whatever runs there now, it is not what was known.
   void drop(const ServerId& server);
 
   void offer(const ServerId& server, Offer offer);
@@ -58,20 +66,35 @@
   void end_everywhere(CallId call, int cause);
 
  private:
+  static constexpr std::size_t kLanes = 4;  // a server tells its state on at most so many
+
   struct Waiting {
     bool is_offer = false;
     Offer offer{};
     int cause = 0;
   };
+  // One connection. What breaks it takes only the set-ups on it along, so a server has a few.
+  struct Lane {
+    std::shared_ptr<Stream> stream{};
+    std::map<CallId, Time> out{};                  // set-ups written and not answered, by their send
+    std::deque<std::pair<Time, Waiting>> ended{};  // releases written a short while ago
+    Time heard{};                                  // the last whole line
+    std::optional<Time> cut_short{};               // since when a line has been waiting for its rest
+    Duration pause{};                              // before the next try
+    std::optional<Loop::TimerId> retry{};
+
+    bool up() const { return stream && stream->up(); }
+  };
   struct Link {
     ServerId server{};
-    std::shared_ptr<Stream> stream{};
-    std::set<CallId> out{};          // set-ups written and not answered
-    std::vector<Waiting> waiting{};  // until the connection is up
+    std::array<Lane, kLanes> lanes{};
+    std::vector<Waiting> waiting{};  // until a connection is up
     bool kept = false;
-    bool broken = false;  // the last connection was lost; the process may be gone
-    Duration pause{};     // before the next try
-    std::optional<Loop::TimerId> retry{};
+    bool broken = false;  // a connection was lost and none is up since; the process may be gone
+  };
+  struct Place {
+    Link* link = nullptr;
+    Lane* lane = nullptr;
   };
 
   void connected(Stream& stream) override;
@@ -79,18 +102,23 @@
   void lost(Stream& stream, Lost how) override;
 
   Link& link(const ServerId& server);
-  Link* of(const Stream& stream);
+  Place place_of(const Stream& stream);
+  Lane* best_lane(Link& link);
   void connect(Link& link);
-  void try_again(Link& link);
-  void write(Link& link, const Waiting& what);
-  void handle(Link& link, ServerLine line);
-  void close_link(Link& link);
+  void connect(Link& link, Lane& lane);
+  void try_again(Link& link, Lane& lane);
+  void write(Lane& lane, const Waiting& what);
+  void handle(const Place& at, ServerLine line);
+  void lose(Stream& stream, const char* why);
+  void close_lane(Lane& lane);
+  void watch();
 
   Loop& loop_;
   Logger& log_;
   Owner& owner_;
   Duration connect_timeout_;
   std::map<ServerId, Link> links_;
+  std::optional<Loop::TimerId> watch_timer_{};
 };
 
 std::string server_text(const ServerId& server);
--- a/tests/controller_test.cpp
+++ b/tests/controller_test.cpp
@@ -190,6 +190,25 @@
   EXPECT_EQ(front.sent_to(1), 4u) << "the next call waits although nothing was done";
 }
 
+// A connection that breaks says nothing of the processor behind it: no pause, no cold gap. The guard holds.
+TEST(Gap, ALostConnectionIsNoSignOfLoad) {
+  Front front;
+  front.call(1);
+  front.now = milliseconds(10);
+  front.ends(1, 1, Ending::reset, Cause::connection_lost);
+  for (CallId id = 2; id < 6; ++id) {
+    front.now += milliseconds(10);
+    front.call(id);
+    front.stands(id, 1, milliseconds(5));
+  }
+  EXPECT_EQ(front.sent_to(1), 5u);
+  EXPECT_EQ(front.sent_to(2), 0u);
+  front.run_until(milliseconds(209));
+  EXPECT_EQ(front.done<SendSetup>().size(), 5u);
+  front.run_until(milliseconds(215));
+  EXPECT_EQ(front.done<SendSetup>().size(), 6u);
+}
+
 TEST(Gap, FullProcessorIsLeftAloneForOneAim) {
   Front front(plain_settings(), {entry(1)});
   front.call(1);
--- a/tests/rough_test.cpp
+++ b/tests/rough_test.cpp
@@ -4,6 +4,8 @@
 namespace quartzarch::test {
 namespace {
 
+const std::string kId = "00000000000000aa";
+
 std::string failed(CallId call) { return binary(12, call, {{208, std::string(1, 41)}}); }
 
 // ---- Bad callers
@@ -78,5 +80,83 @@
   EXPECT_EQ(silent.heard(), "");
 }
 
+// ---- Bad peers
+
+// Whatever cannot be an answer ends its connection and that alone: the set-up on it is sent again, elsewhere
+// or on a new one, and has one answer.
+TEST_F(Program, ASpoiltAnswerCostsOneConnectionAndNoCall) {
+  open_server();
+  Peer gateway = caller();
+  const std::string good = line("accept", kId, "\"desc\":\"s\"");
+  const std::vector<std::string> spoilt{
+      std::string(good).replace(3, 3, "\x01\xfe"),  // noise
+      good.substr(0, good.size() - 6),              // cut, and the connection stays open
+      std::string(good).insert(40, 20000, 'x'),     // endless
+      line("accept", kId, "\"why\":4x"),            // no number
+      line("accept", kId, "\"why\":4"),             // no description
+      std::string(good).replace(good.size() - 4, 1, "\x02"),
+  };
+  for (std::size_t i = 0; i < spoilt.size(); ++i) {
+    gateway.say(setup(0xaa + i, "d"));
+    hears(server, "offer");
+    server.say(std::string(spoilt[i]).replace(spoilt[i].find(kId), 16, call_text(0xaa + i)));
+    until([&] { return server.ended(); }, "the close of the spoilt connection");
+    until([&] { return static_cast<bool>(server = listener.accept()); }, "the next connection");
+    hears(server, "offer");
+    server.take();
+    server.say(line("accept", call_text(0xaa + i), "\"desc\":\"s\""));
+    hears(gateway, binary(9, 0xaa + i, {{210, "s"}}));
+    EXPECT_EQ(gateway.take(), binary(9, 0xaa + i, {{210, "s"}})) << i;
+    server.take();
+  }
+}
+
+// Set-ups do not share one fate: those on another connection to the same server go on.
+TEST_F(Program, AConnectionThatBreaksTakesOnlyItsOwnSetups) {
+  open_server();
+  Peer gateway = caller(), other;
+  gateway.say(setup(0xaa, "d"));
+  hears(server, "00000000000000aa");
+  gateway.say(setup(0xbb, "d"));
+  until([&] { return static_cast<bool>(other = listener.accept()); }, "a second connection");
+  server.say(line("accept", "00000000000000aa", "\"desc\":\"s\""));
+  hears(gateway, binary(9, 0xaa, {{210, "s"}}));
+  gateway.say(setup(0xcc, "d"));
+  hears(other, "00000000000000cc");
+  server.reset();
+  other.say(line("accept", "00000000000000cc", "\"desc\":\"s\""));
+  hears(gateway, binary(9, 0xcc, {{210, "s"}}));
+  // After the release guard the other one goes out again, on whichever connection is up.
+  until([&] { return static_cast<bool>(server = listener.accept()); }, "the next connection");
+  const auto again = [&] { return count(server.heard() + other.heard(), "00000000000000bb") > 0; };
+  until(again, "the set-up that broke");
+}
+
+// What was released must not stay standing because the connection broke before it was read.
+TEST_F(Program, AReleaseOutlivesItsConnection) {
+  open_server();
+  Peer gateway = caller();
+  stand(gateway);
+  gateway.say(binary(12, 0xaa, {{208, "\x10"}}));
+  hears(gateway, binary(16, 0xaa));
+  settle();
+  server.reset();
+  until([&] { return static_cast<bool>(server = listener.accept()); }, "the next connection");
+  hears(server, line("end", kId, "\"why\":16"));
+}
+
+TEST_F(Program, AnswersToWhatWasNeverAskedAreIgnored) {
+  open_server();
+  Peer gateway = caller();
+  gateway.say(setup(0xaa, "d"));
+  hears(server, "offer");
+  const std::string answer = line("accept", kId, "\"desc\":\"s\"");
+  server.say(line("accept", "00000000000000ff", "\"desc\":\"s\"") + answer + answer);
+  hears(gateway, binary(9, 0xaa, {{210, "s"}}));
+  settle();
+  EXPECT_EQ(gateway.heard(), binary(9, 0xaa, {{210, "s"}}));
+  EXPECT_EQ(count(server.heard(), "\"op\":\"end\""), 0u);
+}
+
 }  // namespace
 }  // namespace quartzarch::test
