Tell lost answers and dead connections from load, and bound memory by the limits

(1) An answer that never comes kept its server closed until the caller left (overdue), and its time-out raised the gap to 3 s (note_ending). (2) The connection it got lost on stayed open, brought nothing more, and being empty again after each time-out took the next set-ups (Servers::best_lane): 1.24 attempts a call, 290 time-outs in 5 s.

Changed: a processor answers in turn, so a set-up that later ones have overtaken is no sign of load; it is called off and goes again after the guard. A server that owes answers gets one more now and then. A connection that brings nothing for 0.15 s while others of its server answer is closed, all of them after 2 s of silence. Also: bounds on connections, waiting set-ups and output follow limits.sockets and limits.memory_mb, input buffers give back, EMFILE does not spin, half messages on SIP connections are dropped.

Ruled out: load (reports), CPU (0.04 s in the worst second), descriptors (27 of 1024), the window (win 16, out 1).

--- a/src/config.cpp
+++ b/src/config.cpp
@@ -105,8 +105,11 @@
     config.seed = seed_of(root);
     element limits;
     if (root.at_key("limits").get(limits) == simdjson::SUCCESS) {
-      config.sockets =
-          static_cast<unsigned>(std::clamp(value(limits.get_object(), "sockets", 1024.0), 32.0, 1e6));
+      const auto limit = [&](std::string_view name, double fallback, double least) {
+        return static_cast<unsigned>(std::clamp(value(limits.get_object(), name, fallback), least, 1e6));
+      };
+      config.limits.sockets = limit("sockets", 1024, 32);
+      config.limits.memory_mb = limit("memory_mb", 192, 8);
     }
     element known;
     if (root.at_key("known").get(known) == simdjson::SUCCESS && !known.is_null()) {
--- a/src/config.hpp
+++ b/src/config.hpp
@@ -3,6 +3,7 @@
 
 #include <netinet/in.h>
 
+#include <algorithm>
 #include <stdexcept>
 #include <string>
 #include <vector>
@@ -16,12 +17,30 @@
   using std::runtime_error::runtime_error;
 };
 
+// What the platform grants the process, and what follows from it.
+struct Limits {
+  unsigned sockets = 1024;
+  unsigned memory_mb = 192;
+
+  // Half of the descriptors for callers of the platform's protocol, a quarter for SIP; the rest is for setup
+  // servers, the coordinator and files.
+  std::size_t callers() const { return sockets / 2; }
+  std::size_t gateways() const { return sockets / 4; }
+  // A quarter of the memory may be asked for by set-ups that wait, an eighth may wait for callers to read.
+  std::size_t waiting_bytes() const { return std::size_t{memory_mb} * 1024 * 1024 / 4; }
+  std::size_t output_bytes() const {
+    return std::clamp<std::size_t>(waiting_bytes() / 2 / callers(), 64 * 1024, 1024 * 1024);
+  }
+  // At 1 KiB a call that stands.
+  std::size_t calls() const { return waiting_bytes() / 1024; }
+};
+
 struct Config {
   std::string name;
   sockaddr_in listen{};
   sockaddr_in coordinator{};
   std::uint64_t seed = 0;
-  unsigned sockets = 1024;
+  Limits limits;
   std::uint64_t known_index = 0;
   std::vector<FleetNews> known;
   StartUp start;
--- a/src/controller.cpp
+++ b/src/controller.cpp
@@ -71,6 +71,12 @@
 constexpr double kLateShare = 0.5;
 // Without resends a set-up is late after this share of the holding aim.
 constexpr double kLateShareOfAim = 0.25;
+// A processor answers in turn: a set-up is overtaken once one that was sent later by more than this share of
+// the late time has its answer. Its own got lost on the way.
+constexpr double kOvertakenShare = 0.25;
+// An overtaken set-up is given up after this many late times.
+constexpr int kLateTimesForLost = 2;
+constexpr int kMostDoublings = 10;
 // A pool without a free line is tried again after this, news or no news: lines fall free all the time.
 constexpr Duration kLinesKnownFor = milliseconds(300);
 // A refused caller is asked to stay away for at least this.
@@ -101,6 +107,7 @@
   int out_with_it = 1;            // out at the server then, this one counted
   std::optional<ServerId> out{};  // where its attempt is out
   bool answered = false;          // the caller has its answer; an attempt may still be out
+  bool called_off = false;        // its attempt was, as lost
   bool may_have_run = false;      // an attempt ended without proof that it never ran
 };
 
@@ -177,7 +184,9 @@
   Time told_at{};
   Time shunned_until{};
   Duration shun{};
-  Time down_at = Time::min();  // last out of reach, or a set-up cut
+  Time down_at = Time::min();      // last out of reach, or a set-up cut
+  Time answered_to = Time::min();  // when the latest of the set-ups that were answered had been sent
+  bool overdue_told = false;       // to the staff
 
   bool usable() const { return listed && entry.availability == Availability::ready; }
   bool pressed(Time now) const { return pressed_at && now - *pressed_at < kPressedFor; }
@@ -307,6 +316,9 @@
     if (found == servers_.end()) return;  // left the list meanwhile
     Server& server = found->second;
     if (server.out.erase(stood.call) == 0) return;  // it went to the process that ran there before
+    const bool late_by_itself = overtaken(server, sent);
+    server.answered_to = std::max(server.answered_to, sent);
+    if (late_by_itself) return;  // the way back took long, not the processor
     server.delay = stood.delay;
     server.shun = Duration{0};
     server.shunned_until = Time{0};
@@ -371,6 +383,9 @@
   }
 
   void note_ending(Server& server, const AttemptEnded& ended, Time sent) {
+    if (ended.ending == Ending::full || ended.ending == Ending::fault) {
+      server.answered_to = std::max(server.answered_to, sent);
+    }
     if (ended.ending == Ending::full) {
       raise(server, ended.cause == Cause::no_circuit ? "no line free" : "processor full");
     }
@@ -378,7 +393,7 @@
     if (ended.cause == Cause::connection_lost) return;
     if (ended.ending == Ending::not_connected) shun(server, "out of reach");
     if (ended.ending == Ending::reset) shun(server, "set-up cut");
-    if (ended.ending == Ending::timed_out && !before_rise(server, sent)) {
+    if (ended.ending == Ending::timed_out && !before_rise(server, sent) && !overtaken(server, sent)) {
       raise(server, "set-up timed out", part_waited(ended.call, ended.delay),
             seldom_seen(server) ? kRisesOfTimeOut : 1);
     }
@@ -490,13 +505,31 @@
     return std::max(late, kLeastAim);
   }
 
-  // The oldest set-up out is late: the server is slow or silent, and nothing more goes there until it is
-  // answered.
-  bool overdue(const Server& server) const {
-    return std::any_of(server.out.begin(), server.out.end(),
-                       [this](const auto& sent) { return now_ - sent.second > late_after(); });
+  // Its answer got lost: of what was sent a while later the server has answered something.
+  bool overtaken(const Server& server, Time sent) const {
+    return sent + times(late_after(), kOvertakenShare) < server.answered_to;
+  }
+
+  // How many set-ups out are late: the server is slow or silent. One whose answer got lost tells nothing of
+  // it.
+  int overdue(const Server& server) const {
+    return static_cast<int>(std::count_if(server.out.begin(), server.out.end(), [&](const auto& sent) {
+      return now_ - sent.second > late_after() && !overtaken(server, sent.second);
+    }));
   }
 
+  // While the server owes answers nothing more goes there, but for one set-up now and then, after waits that
+  // double: only the answer to a later one can show that an answer got lost and not that the server is slow.
+  Time owes_until(const Server& server) const {
+    const int late = overdue(server);
+    if (late == 0) return Time::min();
+    Time newest{0};
+    for (const auto& [id, sent] : server.out) newest = std::max(newest, sent);
+    return newest + times(late_after(), std::exp2(std::min(late, kMostDoublings)));
+  }
+
+  bool pressed(const Server& server) const { return server.pressed(now_) || overdue(server) > 0; }
+
   Duration holding_aim() const {
     Duration aim = settings_.classes.front().aim;
     for (const CallClass& c : settings_.classes) aim = std::min(aim, c.aim);
@@ -511,7 +544,7 @@
   }
 
   bool open_now(const Server& server) const {
-    return now_ >= opens_at(server) && !overdue(server) && !window_full(server);
+    return now_ >= std::max(opens_at(server), owes_until(server)) && !window_full(server);
   }
 
   // A number without a free line gets a gap of its own, so that its calls do not use up the processors.
@@ -585,7 +618,9 @@
   // As many set-ups may be out as a fair share brings within twice the late time, and a few for chance.
   bool window_full(const Server& server) const {
     const double window = kFewOut + 2 * fair_rate(server) * ratio(late_after(), seconds(1));
-    return static_cast<double>(server.out.size()) >= window;
+    const auto lost = std::count_if(server.out.begin(), server.out.end(),
+                                    [&](const auto& sent) { return overtaken(server, sent.second); });
+    return static_cast<double>(server.out.size()) - static_cast<double>(lost) >= window;
   }
 
   // ---- Route
@@ -603,19 +638,19 @@
   // where these are pressed too or not open, whichever is open, the first choice before the others.
   Server* route(const Call& call) {
     Server* first = nullptr;
-    std::vector<Server*> calm, pressed;
+    std::vector<Server*> calm, busy;
     for (auto& [id, server] : servers_) {
       if (!open_to(call, server)) continue;
       if (server.entry.number == call.asked.first_choice && !first) {
         first = &server;
       } else if (open_now(server)) {
-        (server.pressed(now_) ? pressed : calm).push_back(&server);
+        (pressed(server) ? busy : calm).push_back(&server);
       }
     }
-    if (first && !first->pressed(now_) && opens_at(*first) - now_ < late_after()) return first;
+    if (first && !pressed(*first) && opens_at(*first) - now_ < late_after()) return first;
     if (!calm.empty()) return less_waiting_of_two(calm);
-    if ((first && open_now(*first)) || pressed.empty()) return first;
-    return less_waiting_of_two(pressed);
+    if ((first && open_now(*first)) || busy.empty()) return first;
+    return less_waiting_of_two(busy);
   }
 
   Server* less_waiting_of_two(std::vector<Server*>& others) {
@@ -636,13 +671,29 @@
 
   Time refuse_at(const Call& call) const { return call.leaves - kAnswerSteps * settings_.quantum; }
 
-  // A set-up that is out for too long is pressure: the server is slow, stands still or is gone.
-  void note_overdue() {
+  // A set-up that is out for too long is pressure while it is: the server is slow, stands still or is gone.
+  // One whose answer got lost is called off, so that the call may be sent again.
+  void look_at_out() {
     for (auto& [id, server] : servers_) {
-      if (overdue(server)) press(server, "no answer in time");
+      const bool late = overdue(server) > 0;
+      if (late && !server.overdue_told && !server.pressed(now_)) log(server, "no answer in time");
+      server.overdue_told = late;
+      for (const auto& [call, sent] : server.out) {
+        if (overtaken(server, sent) && now_ - sent > kLateTimesForLost * late_after()) call_off_lost(call);
+      }
     }
   }
 
+  void call_off_lost(CallId id) {
+    const auto found = calls_.find(id);
+    if (found == calls_.end() || !settings_.may_cancel) return;
+    Call& call = found->second;
+    if (call.answered || call.called_off || !class_of(call).repeatable) return;
+    if (call.attempts >= settings_.attempts_cap || now_ + settings_.release_guard >= refuse_at(call)) return;
+    call.called_off = true;
+    add(CancelAttempt{id, call.attempts - 1});
+  }
+
   // What the call would earn if it were sent now.
   double worth(const Call& call) const {
     const CallClass& c = class_of(call);
@@ -704,10 +755,15 @@
   // Sends what may go and refuses what has waited too long. Where no server is open none of the held calls is
   // looked at further; where none is for one call, none is for its likes, until the next send.
   void dispatch() {
-    note_overdue();
+    look_at_out();
     std::vector<Held> held = look_at_held();
     std::optional<Time> next;
     const auto want = [&next](Time at) { next = std::min(next.value_or(at), at); };
+    for (const auto& [id, server] : servers_) {
+      for (const auto& [call, sent] : server.out) {
+        if (const Time lost = sent + kLateTimesForLost * late_after(); lost > now_) want(lost + Duration{1});
+      }
+    }
     for (const Held& each : held) want(refuse_at(*each.call));
     for (Held* best; any_open() && (best = next_of(held));) {
       Call& call = *best->call;
@@ -727,7 +783,8 @@
       waiting |= now_ >= ready;
     }
     for (const auto& [id, server] : servers_) {
-      if (waiting && server.usable() && opens_at(server) > now_) want(opens_at(server));
+      if (!waiting || !server.usable()) continue;
+      if (const Time opens = std::max(opens_at(server), owes_until(server)); opens > now_) want(opens);
     }
     if (next) wake(*next);
   }
@@ -744,6 +801,7 @@
     if (server.free_lines) *server.free_lines -= settings_.instances;  // the others are sending too
     server.out[call.asked.call] = now_;
     call.sent_at = now_;
+    call.called_off = false;
     call.out_with_it = static_cast<int>(server.out.size());
     call.out = server.entry.id;
     ++call.attempts;
--- a/src/core/exchange.hpp
+++ b/src/core/exchange.hpp
@@ -41,7 +41,10 @@
     if (std::exchange(state_, State::closed) == State::standing) front_->over(request_.call, cause);
   }
   // The caller has left or ended the call: it hears nothing more.
-  void close() { state_ = State::closed; }
+  void close() {
+    state_ = State::closed;
+    request_.description = {};
+  }
 
   std::optional<Attempt> attempt{};  // the one that is out or stands
   unsigned attempts = 0;             // made so far
--- a/src/core/planner.cpp
+++ b/src/core/planner.cpp
@@ -7,8 +7,6 @@
 namespace quartzarch {
 namespace {
 
-// More calls at once than the memory is meant for are turned away unseen.
-constexpr std::size_t kMostCalls = 30000;
 constexpr std::size_t kMostPast = 20000;
 constexpr Duration kStayAwayWhenFull = std::chrono::seconds(1);
 
@@ -46,12 +44,13 @@
 
 }  // namespace
 
-Planner::Planner(Loop& loop, Logger& log, StartUp start, std::uint64_t seed)
+Planner::Planner(Loop& loop, Logger& log, StartUp start, std::uint64_t seed, Bounds bounds)
     : loop_(loop),
       log_(log),
       start_(std::move(start)),
       controller_(start_.settings, seed, loop.now()),
-      servers_(loop, log, *this, start_.connect_timeout) {
+      servers_(loop, log, *this, start_.connect_timeout),
+      bounds_(bounds) {
   loop_.at_each_end([this] { return send_due(); });
 }
 
@@ -98,7 +97,9 @@
     log_.line("call %s: unknown class \"%s\"", call_text(call).c_str(), request.call_class.c_str());
     return front.fail(call, Failure::error);
   }
-  if (calls_.size() >= kMostCalls) return front.refuse(call, kStayAwayWhenFull);
+  if (calls_.size() >= bounds_.calls || waiting_bytes_ + request.description.size() > bounds_.waiting_bytes) {
+    return front.refuse(call, kStayAwayWhenFull);
+  }
   if (!Servers::can_carry({call, request.call_class, request.number, request.description, {}})) {
     log_.line("call %s: nothing a setup server can read, failed", call_text(call).c_str());
     return front.fail(call, Failure::error);
@@ -115,16 +116,17 @@
   event.advised = request.advised;
   event.redialled = request.redialled;
   event.cut = request.cut;
-  calls_.emplace(call, Exchange(std::move(request), front));
   ++owed_;
+  waiting_bytes_ += request.description.size();
+  calls_.emplace(call, Exchange(std::move(request), front));
   deliver(event);
 }
 
 void Planner::withdraw(CallId call) {
   Exchange* const exchange = find(call);
   if (!exchange || !exchange->owed()) return;
+  settle(*exchange);
   exchange->close();
-  --owed_;
   deliver(CallWithdrawn{call});
   // An attempt that the controller did not call off is out until it ends.
   if (Exchange* const left = find(call); left && !left->attempt) erase(call);
@@ -159,7 +161,7 @@
     return;
   }
   const Exchange::Attempt attempt = *exchange->attempt;
-  --owed_;
+  settle(*exchange);
   const CallId call = line.call;
   exchange->answer(std::move(line.description));
   deliver(SetupStood{call, attempt.number, server, loop_.now() - attempt.sent});
@@ -216,6 +218,11 @@
   return found == calls_.end() ? nullptr : &found->second;
 }
 
+void Planner::settle(const Exchange& exchange) {
+  --owed_;
+  waiting_bytes_ -= exchange.request().description.size();
+}
+
 void Planner::erase(CallId call) {
   if (calls_.erase(call) > 0) remember(call);
 }
@@ -313,7 +320,7 @@
 void Planner::carry_out(const Refuse& action) {
   Exchange* const exchange = find(action.call);
   if (!exchange || !exchange->owed()) return;
-  --owed_;
+  settle(*exchange);
   exchange->refuse(action.stay_away);
   if (!exchange->attempt) erase(action.call);
 }
@@ -321,7 +328,7 @@
 void Planner::carry_out(const Fail& action) {
   Exchange* const exchange = find(action.call);
   if (!exchange || !exchange->owed()) return;
-  --owed_;
+  settle(*exchange);
   exchange->fail(exchange->timed_out ? Failure::timed_out : Failure::error);
   if (!exchange->attempt) erase(action.call);
 }
--- a/src/core/planner.hpp
+++ b/src/core/planner.hpp
@@ -18,7 +18,15 @@
 
 class Planner : public Core, private Servers::Owner {
  public:
-  Planner(Loop& loop, Logger& log, StartUp start, std::uint64_t seed);
+  // What the memory is meant for: more calls at once, or more bytes of set-ups that wait, are turned away
+  // unseen.
+  struct Bounds {
+    std::size_t calls = 30000;
+    std::size_t waiting_bytes = 32 * 1024 * 1024;
+  };
+
+  Planner(Loop& loop, Logger& log, StartUp start, std::uint64_t seed, Bounds bounds);
+  void limit(Bounds bounds) { bounds_ = bounds; }
 
   void news(const FleetNews& news);
   // Hears of calls that were answered before this process started and are over now.
@@ -63,6 +71,8 @@
   void carry_out(const Subscribe&) {}
 
   Exchange* find(CallId call);
+  // Nothing is owed to its caller any more.
+  void settle(const Exchange& exchange);
 
   Loop& loop_;
   Logger& log_;
@@ -73,6 +83,8 @@
   bool listed_ = false;
   Calls calls_;
   std::size_t owed_ = 0;
+  std::size_t waiting_bytes_ = 0;  // of the descriptions of those
+  Bounds bounds_;
   std::deque<Event> events_;
   bool pumping_ = false;
   std::vector<std::pair<CallId, unsigned>> due_;  // attempts to be sent at the end of the pass
--- a/src/front/binary.cpp
+++ b/src/front/binary.cpp
@@ -1,9 +1,6 @@
 #include "front/binary.hpp"
 
-#include <sys/socket.h>
-
 #include <algorithm>
-#include <cerrno>
 #include <charconv>
 #include <cmath>
 #include <utility>
@@ -45,7 +42,6 @@
 constexpr Duration kLongestUnread = std::chrono::seconds(5);
 constexpr Duration kIdleLimit = std::chrono::seconds(10);
 constexpr Duration kSweep = std::chrono::milliseconds(250);
-constexpr Duration kNoDescriptors = std::chrono::milliseconds(100);
 // Set-ups that one connection may have open: a flood on one leaves room for the others.
 constexpr std::size_t kMostOpen = 400;
 constexpr Duration kStayAwayInFlood = std::chrono::seconds(1);
@@ -153,8 +149,13 @@
 }  // namespace
 
 BinaryFront::BinaryFront(Loop& loop, Logger& log, Core& core, const sockaddr_in& listen,
-                         std::size_t most_connections)
-    : loop_(loop), log_(log), core_(core), listener_(listen_on(listen)), most_connections_(most_connections) {
+                         std::size_t most_connections, std::size_t longest_output)
+    : loop_(loop),
+      log_(log),
+      core_(core),
+      acceptor_(loop, listen_on(listen)),
+      most_connections_(most_connections),
+      longest_output_(longest_output) {
   loop_.watch(*this, Rank::callers);
   sweep();
 }
@@ -165,6 +166,12 @@
   for (auto& [stream, connection] : connections_) connection.stream->close();
 }
 
+// Holds for what comes from now on; connections beyond it go as they are missed least.
+void BinaryFront::limit(std::size_t most_connections, std::size_t longest_output) {
+  most_connections_ = most_connections;
+  longest_output_ = longest_output;
+}
+
 bool BinaryFront::idle() const {
   return homeless_.empty() && std::all_of(connections_.begin(), connections_.end(), [](const auto& item) {
            return item.second.open.empty() && item.second.stream->unsent().empty();
@@ -176,7 +183,7 @@
 // At the limit callers wait in the kernel's line until there is room, or a connection that may be closed for
 // them; so they do while the process is out of descriptors.
 short BinaryFront::interest() const {
-  if (loop_.now() < accepts_from_) return 0;
+  if (acceptor_.resting()) return 0;
   const bool room = connections_.size() < most_connections_ || least_missed() != connections_.end();
   return room ? POLLIN : 0;
 }
@@ -185,12 +192,10 @@
   // One is there for certain; at the limit room is made for that one only.
   if (connections_.size() >= most_connections_ && !make_room()) return;
   while (connections_.size() < most_connections_) {
-    Fd fd(::accept(listener_.get(), nullptr, nullptr));
+    Fd fd = acceptor_.next();
     if (!fd) {
-      // The connection stays in line and would wake the loop at once, again and again.
-      if (errno != EMFILE && errno != ENFILE && errno != ENOBUFS && errno != ENOMEM) return;
+      if (!acceptor_.resting()) return;
       log_.line("caller: no descriptor left, connections have to wait");
-      accepts_from_ = loop_.now() + kNoDescriptors;
       make_room();
       return;
     }
@@ -199,6 +204,7 @@
     connection.stream =
         std::make_shared<Stream>(loop_, std::move(fd), static_cast<Stream::Owner&>(*this), Rank::callers);
     Stream& stream = *connection.stream;
+    stream.limit_output(longest_output_);
     connections_.emplace(&stream, std::move(connection));
   }
 }
@@ -247,6 +253,8 @@
     if (found == connections_.end()) continue;
     if (const char* const why = overstayed(found->second)) close(found, why);
   }
+  while (connections_.size() > most_connections_ && make_room()) {
+  }
   send_homeless();
   sweep_timer_ = loop_.at(loop_.now() + kSweep, [this] { sweep(); });
 }
--- a/src/front/binary.hpp
+++ b/src/front/binary.hpp
@@ -16,10 +16,12 @@
 class BinaryFront : public Front, private Watched, private Stream::Owner {
  public:
   // Callers may hold `most_connections`; throws std::system_error if the address cannot be listened on.
-  BinaryFront(Loop& loop, Logger& log, Core& core, const sockaddr_in& listen, std::size_t most_connections);
+  BinaryFront(Loop& loop, Logger& log, Core& core, const sockaddr_in& listen, std::size_t most_connections,
+              std::size_t longest_output);
   ~BinaryFront() override;
 
-  sockaddr_in address() const { return bound_address(listener_); }
+  sockaddr_in address() const { return bound_address(acceptor_.fd()); }
+  void limit(std::size_t most_connections, std::size_t longest_output);
   // Everything that is owed has been written.
   bool idle() const;
 
@@ -42,7 +44,7 @@
   };
   using Connections = std::map<const Stream*, Connection>;
 
-  int descriptor() const override { return listener_.get(); }
+  int descriptor() const override { return acceptor_.fd().get(); }
   short interest() const override;
   void ready(short events) override;
   void arrived(Stream& stream) override;
@@ -65,10 +67,9 @@
   Loop& loop_;
   Logger& log_;
   Core& core_;
-  Fd listener_;
-  std::size_t most_connections_;
+  Acceptor acceptor_;
+  std::size_t most_connections_, longest_output_;
   Loop::TimerId sweep_timer_ = 0;
-  Time accepts_from_{};  // out of descriptors before
   Connections connections_;
   std::unordered_map<CallId, const Stream*> calls_;  // open and standing ones, by the connection they came on
   std::deque<Segment> homeless_;                     // releases that no known caller is connected for
--- a/src/front/sip/transport.cpp
+++ b/src/front/sip/transport.cpp
@@ -15,6 +15,10 @@
 constexpr Duration kConnectTimeout = std::chrono::seconds(4);
 constexpr int kDatagramsAtOnce = 64;
 constexpr std::size_t kMostUndelivered = 64;
+// Nothing takes longer than this on its way, be it the rest of a message or the first one of a connection
+// that a gateway made.
+constexpr Duration kLongestStall = std::chrono::seconds(3);
+constexpr Duration kSweep = std::chrono::seconds(1);
 constexpr Duration kCertificateLook = std::chrono::seconds(5);
 
 bool same_address(const sockaddr_in& a, const sockaddr_in& b) {
@@ -46,9 +50,11 @@
     loop_.watch(*tls_, Rank::callers);
     look_at_certificate();
   }
+  sweep();
 }
 
 Transport::~Transport() {
+  loop_.cancel(sweep_timer_);
   if (certificate_timer_) loop_.cancel(*certificate_timer_);
   loop_.forget(*this);
   if (tcp_) loop_.forget(*tcp_);
@@ -125,12 +131,15 @@
 
 // ---- TCP
 
-void Transport::accept_all(const Fd& listener, TransportKind kind) {
+void Transport::accept_all(Acceptor& acceptor, TransportKind kind) {
   while (room()) {
     sockaddr_in peer{};
-    socklen_t size = sizeof peer;
-    Fd fd(::accept(listener.get(), reinterpret_cast<sockaddr*>(&peer), &size));
-    if (!fd) return;
+    Fd fd = acceptor.next(&peer);
+    if (!fd) {
+      if (!acceptor.resting()) return;
+      log_.line("sip: no descriptor left, connections have to wait");
+      return make_room();
+    }
     Connection& connection =
         add(std::make_shared<Stream>(loop_, std::move(fd), static_cast<Stream::Owner&>(*this), Rank::callers),
             peer, kind);
@@ -159,9 +168,24 @@
   connection.stream = std::move(stream);
   connection.peer = peer;
   connection.kind = kind;
+  connection.came = loop_.now();
   return connection;
 }
 
+// Half a message, and a connection on which none ever comes, are not kept: hundreds of them would use up what
+// the gateways need. One that has spoken may be quiet for as long as there is room.
+void Transport::sweep() {
+  std::vector<std::shared_ptr<Stream>> over;
+  for (const auto& [id, connection] : connections_) {
+    const Time since = connection.cut_short.value_or(connection.spoke ? loop_.now() : connection.came);
+    if (loop_.now() - since > kLongestStall) over.push_back(connection.stream);
+  }
+  for (const auto& stream : over) {
+    if (Connection* const connection = of(*stream)) drop(*connection, "nothing whole");
+  }
+  sweep_timer_ = loop_.at(loop_.now() + kSweep, [this] { sweep(); });
+}
+
 Transport::Connection* Transport::of(const Stream& stream) {
   for (auto& [id, connection] : connections_) {
     if (connection.stream.get() == &stream) return &connection;
@@ -180,6 +204,7 @@
   Connection& made = add(std::make_shared<Stream>(loop_, to.address, kConnectTimeout,
                                                   static_cast<Stream::Owner&>(*this), Rank::callers),
                          to.address, to.kind);
+  made.spoke = true;  // it is ours: only responses come on it
   if (to.kind == TransportKind::tls) {
     const std::string peer = address_text(to.address);
     made.tls = TlsSession::connecting(tls_context_->client(), peer.substr(0, peer.rfind(':')));
@@ -217,6 +242,9 @@
   const auto still = connections_.find(id);
   if (still == connections_.end()) return;
   if (!taken) return drop(still->second, "malformed message");
+  const bool whole = *taken == (secure ? plain.size() : stream.input().size());
+  if (whole) still->second.cut_short.reset();
+  if (!whole && (*taken > 0 || !still->second.cut_short)) still->second.cut_short = loop_.now();
   if (secure) {
     still->second.plain = plain.substr(*taken);
   } else {
@@ -251,7 +279,8 @@
     if (input.size() < head + body) return taken;
     const auto message = Message::parse(input.substr(0, head), input.substr(head, body));
     if (!message) return std::nullopt;
-    const Connection& connection = connections_.at(id);
+    Connection& connection = connections_.at(id);
+    connection.spoke = true;
     on_message_(*message, Hop{connection.kind, connection.peer, id});
     taken += head + body;
   }
--- a/src/front/sip/transport.hpp
+++ b/src/front/sip/transport.hpp
@@ -52,16 +52,16 @@
   class Listener : public Watched {
    public:
     Listener(Transport& transport, TransportKind kind, Fd fd)
-        : transport_(transport), kind_(kind), fd_(std::move(fd)) {}
-    const Fd& fd() const { return fd_; }
-    int descriptor() const override { return fd_.get(); }
-    short interest() const override { return transport_.room() ? POLLIN : 0; }
-    void ready(short) override { transport_.accept_all(fd_, kind_); }
+        : transport_(transport), kind_(kind), acceptor_(transport.loop_, std::move(fd)) {}
+    const Fd& fd() const { return acceptor_.fd(); }
+    int descriptor() const override { return fd().get(); }
+    short interest() const override { return transport_.room() && !acceptor_.resting() ? POLLIN : 0; }
+    void ready(short) override { transport_.accept_all(acceptor_, kind_); }
 
    private:
     Transport& transport_;
     TransportKind kind_;
-    Fd fd_;
+    Acceptor acceptor_;
   };
   struct Undelivered {
     sockaddr_in elsewhere{};
@@ -76,6 +76,10 @@
     std::map<std::uint64_t, Undelivered> undelivered{};
     std::unique_ptr<TlsSession> tls{};
     std::string plain{};  // what TLS has made readable and is no whole message yet
+    Time came{};
+    bool spoke = false;  // a whole message came
+    std::optional<Time>
+        cut_short{};  // since when a message, or the TLS before it, has been waiting for its rest
   };
 
   int descriptor() const override { return udp_.get(); }
@@ -85,7 +89,8 @@
   void lost(Stream& stream, Lost how) override;
 
   bool room() const { return connections_.size() < most_connections_; }
-  void accept_all(const Fd& listener, TransportKind kind);
+  void accept_all(Acceptor& acceptor, TransportKind kind);
+  void sweep();
   void make_room();
   Connection* of(const Stream& stream);
   Connection& add(std::shared_ptr<Stream> stream, const sockaddr_in& peer, TransportKind kind);
@@ -105,6 +110,7 @@
   std::unique_ptr<TlsContext> tls_context_;
   std::unique_ptr<Listener> tcp_, tls_;
   std::optional<Loop::TimerId> certificate_timer_{};
+  Loop::TimerId sweep_timer_ = 0;
   std::map<std::uint64_t, Connection> connections_;
   std::uint64_t last_connection_ = 0;
   std::uint64_t last_tag_ = 0;
--- a/src/link/port.cpp
+++ b/src/link/port.cpp
@@ -1,7 +1,5 @@
 #include "link/port.hpp"
 
-#include <sys/socket.h>
-
 #include <algorithm>
 #include <utility>
 
@@ -14,7 +12,7 @@
 }  // namespace
 
 Port::Port(Loop& loop, Logger& log, Core& core, const sockaddr_in& listen)
-    : loop_(loop), log_(log), core_(core), listener_(listen_on(listen)), told_ready_(core.ready()) {
+    : loop_(loop), log_(log), core_(core), acceptor_(loop, listen_on(listen)), told_ready_(core.ready()) {
   loop_.watch(*this, Rank::callers);
 }
 
@@ -37,7 +35,7 @@
 }
 
 void Port::ready(short) {
-  Fd fd(::accept(listener_.get(), nullptr, nullptr));
+  Fd fd = acceptor_.next();
   if (!fd || forwarders_.size() >= kMostForwarders) return;
   auto stream =
       std::make_shared<Stream>(loop_, std::move(fd), static_cast<Stream::Owner&>(*this), Rank::callers);
--- a/src/link/port.hpp
+++ b/src/link/port.hpp
@@ -19,7 +19,7 @@
   Port(Loop& loop, Logger& log, Core& core, const sockaddr_in& listen);
   ~Port() override;
 
-  sockaddr_in address() const { return bound_address(listener_); }
+  sockaddr_in address() const { return bound_address(acceptor_.fd()); }
   bool idle() const;
   // Tells the forwarders whether calls may come, where that has changed.
   void tell_state();
@@ -37,8 +37,8 @@
     std::set<CallId> open{};
   };
 
-  int descriptor() const override { return listener_.get(); }
-  short interest() const override { return POLLIN; }
+  int descriptor() const override { return acceptor_.fd().get(); }
+  short interest() const override { return acceptor_.resting() ? 0 : POLLIN; }
   void ready(short events) override;
   void arrived(Stream& stream) override;
   void lost(Stream& stream, Lost how) override;
@@ -52,7 +52,7 @@
   Loop& loop_;
   Logger& log_;
   Core& core_;
-  Fd listener_;
+  Acceptor acceptor_;
   std::map<const Stream*, Forwarder> forwarders_;
   std::unordered_map<CallId, const Stream*> calls_;
   std::deque<Segment> homeless_;  // ends of calls while no forwarder is connected
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -2,6 +2,7 @@
 #include <sys/signalfd.h>
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <charconv>
 #include <csignal>
 #include <cstdlib>
@@ -120,17 +121,24 @@
   Signals signals_;
 };
 
+Planner::Bounds bounds_of(const Limits& limits) { return {limits.calls(), limits.waiting_bytes()}; }
+
 // The fronts of a process: on a planner of its own or on several by the link.
 class Fronts {
  public:
   Fronts(Loop& loop, Logger& log, Core& core, const Config& config,
          const std::optional<sip::FrontConfig>& sip)
-      : loop_(loop), binary_(loop, log, core, config.listen, config.sockets / 2) {
+      : loop_(loop),
+        binary_(loop, log, core, config.listen, config.limits.callers(), config.limits.output_bytes()) {
     // The time goes into the seed: with a configuration that names the same one at each start, the ids of
     // calls would come again while calls of the last process still stand under them.
     const auto seed = config.seed ^ static_cast<std::uint64_t>(unix_time().count());
-    if (sip) sip_.emplace(loop, log, core, *sip, seed);
+    if (!sip) return;
+    sip::FrontConfig bounded = *sip;
+    bounded.most_connections = std::min(bounded.most_connections, config.limits.gateways());
+    sip_.emplace(loop, log, core, bounded, seed);
   }
+  void limit(const Limits& limits) { binary_.limit(limits.callers(), limits.output_bytes()); }
   Front& strays() { return binary_; }
   bool idle() const { return binary_.idle(); }
   // Nothing of a dialog outlives the process, so its calls are ended; on the platform's protocol they go on.
@@ -150,7 +158,7 @@
 
 void serve_alone(Loop& loop, Logger& log, Service& service, const Config& config,
                  const std::optional<sip::FrontConfig>& sip) {
-  Planner planner(loop, log, config.start, config.seed);
+  Planner planner(loop, log, config.start, config.seed, bounds_of(config.limits));
   for (const FleetNews& news : config.known) planner.news(news);
   Fronts fronts(loop, log, planner, config, sip);
   planner.strays_to(fronts.strays());
@@ -158,7 +166,11 @@
                           [&planner](const FleetNews& news) { planner.news(news); });
   log.line("%s: serving at %s", config.name.c_str(), address_text(config.listen).c_str());
   service.run([&] { return planner.owed(); }, [&] { return fronts.idle(); }, [](bool) {},
-              [&](const Config& fresh) { coordinator.move(fresh.coordinator); });
+              [&](const Config& fresh) {
+                coordinator.move(fresh.coordinator);
+                planner.limit(bounds_of(fresh.limits));
+                fronts.limit(fresh.limits);
+              });
   fronts.hang_up();
 }
 
@@ -168,7 +180,7 @@
   Settings& settings = config.start.settings;
   settings.rank = settings.rank * static_cast<unsigned>(planners.size()) + static_cast<unsigned>(index);
   settings.instances *= static_cast<unsigned>(planners.size());
-  Planner planner(loop, log, config.start, config.seed + index);
+  Planner planner(loop, log, config.start, config.seed + index, bounds_of(config.limits));
   for (const FleetNews& news : config.known) planner.news(news);
   link::Port port(loop, log, planner, planners[index]);
   planner.strays_to(port);
@@ -181,7 +193,10 @@
                 if (stopping) port.stop();
                 port.tell_state();
               },
-              [&](const Config& fresh) { coordinator.move(fresh.coordinator); });
+              [&](const Config& fresh) {
+                coordinator.move(fresh.coordinator);
+                planner.limit(bounds_of(fresh.limits));
+              });
 }
 
 void serve_as_forwarder(Loop& loop, Logger& log, Service& service, const Config& config,
@@ -193,7 +208,7 @@
   log.line("%s: forwarding at %s to %zu planners", config.name.c_str(), address_text(config.listen).c_str(),
            addresses.size());
   service.run([&] { return planners.owed(); }, [&] { return fronts.idle(); }, [](bool) {},
-              [](const Config&) {});
+              [&](const Config& fresh) { fronts.limit(fresh.limits); });
   fronts.hang_up();
 }
 
--- a/src/net/servers.cpp
+++ b/src/net/servers.cpp
@@ -17,7 +17,12 @@
 constexpr std::size_t kMostWaiting = 4096;
 // A line comes in one piece or is cut: the rest will not come, nor anything else on that connection.
 constexpr Duration kLongestCut = milliseconds(300);
-constexpr Duration kWatch = milliseconds(100);
+// A connection that brings nothing while what was sent later on others is answered is of no more use, nor are
+// all of them if the server brings nothing at all for long: its machine may be cut off.
+constexpr Duration kSilentBesideOthers = milliseconds(150);
+constexpr Duration kOvertakenBy = milliseconds(50);
+constexpr Duration kSilentAltogether = milliseconds(2000);
+constexpr Duration kWatch = milliseconds(50);
 // A release that was written this shortly before its connection broke may not have been read.
 constexpr Duration kUnreadFor = milliseconds(1000);
 constexpr Duration kFirstPause = milliseconds(250);
@@ -88,7 +93,10 @@
 // last.
 Servers::Lane* Servers::best_lane(Link& link) {
   Lane* best = nullptr;
-  const auto rank = [](const Lane& lane) { return std::pair(lane.cut_short.has_value(), lane.out.size()); };
+  const auto rank = [this](const Lane& lane) {
+    const bool doubtful = lane.cut_short || (lane.owes && loop_.now() - *lane.owes > kOvertakenBy);
+    return std::pair(doubtful, lane.out.size());
+  };
   for (Lane& lane : link.lanes) {
     if (lane.up() && (!best || rank(lane) < rank(*best))) best = &lane;
   }
@@ -134,7 +142,7 @@
   if (lane.stream) return;
   if (lane.retry) loop_.cancel(*std::exchange(lane.retry, std::nullopt));
   lane.cut_short.reset();
-  lane.heard = loop_.now();
+  lane.owes.reset();
   lane.stream = std::make_shared<Stream>(loop_, socket_address(link.server), connect_timeout_,
                                          static_cast<Stream::Owner&>(*this), Rank::servers);
 }
@@ -192,6 +200,7 @@
 void Servers::write(Lane& lane, const Waiting& what) {
   if (what.is_offer) {
     lane.out[what.offer.call] = loop_.now();
+    if (!lane.owes) lane.owes = loop_.now();
     return lane.stream->send(offer_segment(what.offer, what.offer.until - loop_.now()));
   }
   while (!lane.ended.empty() && loop_.now() - lane.ended.front().first > kUnreadFor) lane.ended.pop_front();
@@ -219,7 +228,7 @@
       return;
     }
     at.lane->cut_short.reset();
-    at.lane->heard = loop_.now();
+    at.lane->owes.reset();
     auto line = length <= kLongestMessage ? parse_server_line(input.substr(0, length)) : std::nullopt;
     if (!line) return lose(stream, "malformed line");
     stream.consume(length + 1);
@@ -232,7 +241,12 @@
   if (line.op == ServerOp::group) return owner_.told(server, parse_load(line.load));
   if (line.op != ServerOp::accept && line.op != ServerOp::end) return;
   // Mostly it comes on the connection of its set-up, but the server may use any.
-  for (Lane& lane : at.link->lanes) lane.out.erase(line.call);
+  for (Lane& lane : at.link->lanes) {
+    const auto out = lane.out.find(line.call);
+    if (out == lane.out.end()) continue;
+    at.link->answered_to = std::max(at.link->answered_to, out->second);
+    lane.out.erase(out);
+  }
   if (line.op == ServerOp::accept) return owner_.stood(server, std::move(line));
   owner_.released(server, line);
 }
@@ -293,16 +307,23 @@
   }
 }
 
-// Looks for connections that have stopped in the middle of a line.
+// Looks for connections that are open and of no more use.
 void Servers::watch() {
-  std::vector<std::shared_ptr<Stream>> cut;
+  std::vector<std::pair<std::shared_ptr<Stream>, const char*>> useless;
+  const Time now = loop_.now();
   for (auto& [id, link] : links_) {
     for (Lane& lane : link.lanes) {
-      if (lane.up() && lane.cut_short && loop_.now() - *lane.cut_short > kLongestCut)
-        cut.push_back(lane.stream);
+      if (!lane.up()) continue;
+      const Duration silent = lane.owes ? now - *lane.owes : Duration{0};
+      const bool overtaken = lane.owes && *lane.owes + kOvertakenBy < link.answered_to;
+      if (lane.cut_short && now - *lane.cut_short > kLongestCut) {
+        useless.emplace_back(lane.stream, "half a line");
+      } else if (silent > (overtaken ? kSilentBesideOthers : kSilentAltogether)) {
+        useless.emplace_back(lane.stream, "silent");
+      }
     }
   }
-  for (const auto& stream : cut) lose(*stream, "half a line");
+  for (const auto& [stream, why] : useless) lose(*stream, why);
   watch_timer_ = loop_.at(loop_.now() + kWatch, [this] { watch(); });
 }
 
--- a/src/net/servers.hpp
+++ b/src/net/servers.hpp
@@ -78,15 +78,16 @@
     std::shared_ptr<Stream> stream{};
     std::map<CallId, Time> out{};                  // set-ups written and not answered, by their send
     std::deque<std::pair<Time, Waiting>> ended{};  // releases written a short while ago
-    Time heard{};                                  // the last whole line
-    std::optional<Time> cut_short{};               // since when a line has been waiting for its rest
-    Duration pause{};                              // before the next try
+    std::optional<Time> owes{};       // when the first set-up was sent on it since its last whole line
+    std::optional<Time> cut_short{};  // since when a line has been waiting for its rest
+    Duration pause{};                 // before the next try
     std::optional<Loop::TimerId> retry{};
 
     bool up() const { return stream && stream->up(); }
   };
   struct Link {
     ServerId server{};
+    Time answered_to{};  // when the latest of the set-ups that were answered had been sent
     std::array<Lane, kLanes> lanes{};
     std::vector<Waiting> waiting{};  // until a connection is up
     bool kept = false;
--- a/src/net/stream.hpp
+++ b/src/net/stream.hpp
@@ -41,6 +41,9 @@
   Stream(Loop& loop, const sockaddr_in& to, Duration timeout, Owner& owner, Rank rank);
   ~Stream() override;
 
+  // What may wait for the peer to take it; half of it and no more is read from the peer until it does.
+  void limit_output(std::size_t bytes) { longest_output_ = bytes; }
+
   std::string_view input() const { return std::string_view(input_).substr(taken_); }
   void consume(std::size_t count) { taken_ += count; }
 
@@ -78,6 +81,7 @@
   std::deque<Segment> output_;
   std::size_t written_ = 0;  // of the first segment
   std::size_t queued_ = 0;
+  std::size_t longest_output_ = 1024 * 1024;
   bool flush_due_ = false;
   bool came_up_ = false;
   std::optional<Loop::TimerId> connect_timer_;
@@ -87,6 +91,22 @@
   std::shared_ptr<bool> living_ = std::make_shared<bool>(true);
 };
 
+// A listening socket. Out of descriptors it rests for a moment: what is in line would wake the loop at once,
+// again and again.
+class Acceptor {
+ public:
+  Acceptor(Loop& loop, Fd fd) : loop_(loop), fd_(std::move(fd)) {}
+  const Fd& fd() const { return fd_; }
+  bool resting() const { return loop_.now() < rests_until_; }
+  // The next connection in line, or none.
+  Fd next(sockaddr_in* peer = nullptr);
+
+ private:
+  Loop& loop_;
+  Fd fd_;
+  Time rests_until_{};
+};
+
 // An address as "10.0.0.4:5070"; nothing if it is none.
 std::optional<sockaddr_in> parse_address(std::string_view text);
 std::string address_text(const sockaddr_in& address);
--- a/tests/rough_test.cpp
+++ b/tests/rough_test.cpp
@@ -1,4 +1,6 @@
 // Stories of bad callers and bad peers, one for each failure that was met on the days that are not calm.
+#include <sys/resource.h>
+
 #include "loopback.hpp"
 
 namespace quartzarch::test {
@@ -80,6 +82,57 @@
   EXPECT_EQ(silent.heard(), "");
 }
 
+// Set-ups that wait hold what their callers sent: more than the memory is meant for is refused unseen, until
+// some have their answer.
+TEST_F(Program, SetupsThatWaitAreBoundedByTheMemory) {
+  planner->limit({10, 100});
+  open_server();
+  Peer gateway = caller();
+  gateway.say(setup(0xaa, std::string(60, 'd')));
+  hears(server, "offer");
+  gateway.say(setup(0xbb, std::string(60, 'd')));
+  hears(gateway, binary(12, 0xbb, {{208, std::string(1, 42)}, {192, "1000"}}));
+  server.say(line("accept", kId, "\"desc\":\"s\""));
+  hears(gateway, binary(9, 0xaa, {{210, "s"}}));
+  gateway.say(setup(0xcc, std::string(60, 'd')));
+  hears(server, "00000000000000cc");
+}
+
+// A peer that asks on and takes no answers is not read any further, and what it sent is not kept.
+TEST_F(Program, WhoTakesNoAnswersIsNotAskedForMore) {
+  struct Idle : Stream::Owner {
+    void arrived(Stream& stream) override { stream.consume(stream.input().size()); }
+    void lost(Stream&, Lost) override {}
+  } owner;
+  Acceptor acceptor(loop, listen_on(any_port()));
+  Peer other = Peer::connect(bound_address(acceptor.fd()));
+  Stream stream(loop, acceptor.next(), owner, Rank::callers);
+  const int small = 4096;
+  ::setsockopt(stream.descriptor(), SOL_SOCKET, SO_SNDBUF, &small, sizeof small);
+  stream.limit_output(4 << 20);
+  EXPECT_TRUE(stream.interest() & POLLIN);
+  stream.send({std::string(3 << 20, 'x'), {}, 0});
+  settle(3);
+  EXPECT_FALSE(stream.interest() & POLLIN);
+  const auto taken = [&] { return other.take(), (stream.interest() & POLLIN) != 0; };
+  until(taken, "room for more");
+}
+
+// Out of descriptors the listening socket rests: what is in line would wake the loop without end.
+TEST_F(Program, WithoutADescriptorConnectionsWait) {
+  Acceptor acceptor(loop, listen_on(any_port()));
+  Peer peer = Peer::connect(bound_address(acceptor.fd()));
+  rlimit before{}, none{};
+  ::getrlimit(RLIMIT_NOFILE, &before);
+  none = {static_cast<rlim_t>(Fd(::dup(0)).get()), before.rlim_max};
+  ::setrlimit(RLIMIT_NOFILE, &none);
+  EXPECT_FALSE(acceptor.next());
+  ::setrlimit(RLIMIT_NOFILE, &before);
+  EXPECT_TRUE(acceptor.resting());
+  until([&] { return !acceptor.resting(); }, "the end of its rest");
+  EXPECT_TRUE(acceptor.next());
+}
+
 // ---- Bad peers
 
 // Whatever cannot be an answer ends its connection and that alone: the set-up on it is sent again, elsewhere
@@ -132,6 +185,31 @@
   until(again, "the set-up that broke");
 }
 
+// A connection can stay open and bring nothing any more. Others show that the server is well: it is closed,
+// and what was out on it goes again.
+TEST_F(Program, AnOpenConnectionThatBringsNothingIsOfNoMoreUse) {
+  open_server();
+  Peer gateway = caller(), other;
+  gateway.say(setup(0xaa, "d"));
+  hears(server, "00000000000000aa");
+  gateway.say(setup(0xbb, "d"));
+  until([&] { return static_cast<bool>(other = listener.accept()); }, "a second connection");
+  CallId next = 0x100;
+  const auto answers_elsewhere = [&] {
+    const std::string said = other.take();
+    for (auto at = said.find("\"offer\",\"call\":\""); at != std::string::npos;
+         at = said.find("\"offer\"", at + 1)) {
+      other.say(line("accept", said.substr(at + 16, 16), "\"desc\":\"s\""));
+    }
+    if (!said.empty() || next == 0x100) gateway.say(setup(++next, "d"));
+    return server.ended();
+  };
+  until(answers_elsewhere, "the close of the silent one");
+  until([&] { return static_cast<bool>(server = listener.accept()); }, "the next connection");
+  const auto again = [&] { return count(server.heard() + other.heard(), kId) > 0; };
+  until(again, "the set-up that got no answer");
+}
+
 // What was released must not stay standing because the connection broke before it was read.
 TEST_F(Program, AReleaseOutlivesItsConnection) {
   open_server();
--- a/tests/sip_test.cpp
+++ b/tests/sip_test.cpp
@@ -351,6 +351,20 @@
 }
 
 // At the limit the connection that has been quiet for longest makes room, and its call still gets its answer.
+// The same hostile input as on the platform's port: half a message and a silent connection are not kept, and
+// what no setup server can read fails here.
+TEST_F(Sip, WhatIsNeverWholeOrReadableHarmsNoOther) {
+  Peer half = gateway(TransportKind::tcp), silent = gateway(TransportKind::tcp);
+  Peer good = gateway(TransportKind::tcp);
+  half.say(invite(half, TransportKind::tcp).substr(0, 100));
+  good.say(
+      request(good, TransportKind::tcp, "INVITE", 1, "i1", "Content-Type: application/sdp\r\n", "\xff\xfe"));
+  hears(good, "SIP/2.0 500 ");
+  until([&] { return half.ended() && silent.ended(); }, "the close of both");
+  EXPECT_FALSE(good.ended());
+  EXPECT_EQ(server.heard(), "");
+}
+
 TEST_F(Sip, AQuietConnectionMakesRoomAndItsCallIsStillAnswered) {
   sip::FrontConfig config;
   config.listening.tcp = any_port();
