Open a new connection once the server knows of a close, so that no release is missed

(1) A release on its way on a connection closed from here comes again on 'the next one opened', but that had opened at once, before the server could know of the close (Servers::lost). (2) The closes were needless: a set-up that its caller took back is never answered, and counted as silence (Servers::end left the mark).

Changed: after a close from here the next connection opens 0.25 s later, unless none is up; what is given up here counts as silence only if others had overtaken it. Callers that only asked for a test go after 3 s, and closes of unused connections are not logged (10 lines a second had used up the log's allowance).

--- a/src/front/binary.cpp
+++ b/src/front/binary.cpp
@@ -41,6 +41,8 @@
 constexpr Duration kLongestStall = std::chrono::milliseconds(2000);
 constexpr Duration kLongestUnread = std::chrono::seconds(5);
 constexpr Duration kIdleLimit = std::chrono::seconds(10);
+// Who only asked for a test has nothing to come back for.
+constexpr Duration kIdleLimitTested = std::chrono::seconds(3);
 constexpr Duration kSweep = std::chrono::milliseconds(250);
 // Set-ups that one connection may have open: a flood on one leaves room for the others.
 constexpr std::size_t kMostOpen = 400;
@@ -226,32 +228,36 @@
 bool BinaryFront::make_room() {
   const auto least = least_missed();
   if (least == connections_.end()) return false;
-  close(least, "room needed");
+  close(least, nullptr);
   return true;
 }
 
-// Why a connection is to be closed by now, if it is.
-const char* BinaryFront::overstayed(const Connection& connection) const {
+// Whether a connection may stay open, and if not, why.
+BinaryFront::Stay BinaryFront::stay_of(const Connection& connection) const {
   const Time now = loop_.now();
-  if (connection.cut_short && now - *connection.cut_short > kLongestStall) return "half a message";
+  if (connection.cut_short && now - *connection.cut_short > kLongestStall) return Stay::stalled;
   if (!connection.stream->unsent().empty()) {
-    return now - connection.stream->last_written() > kLongestUnread ? "does not read" : nullptr;
+    return now - connection.stream->last_written() > kLongestUnread ? Stay::unread : Stay::may;
   }
-  if (!connection.open.empty()) return nullptr;
-  if (connection.standing == Standing::silent && now - connection.came > kFirstWord) return "said nothing";
-  return now - connection.stream->last_used() > kIdleLimit ? "idle" : nullptr;
+  if (!connection.open.empty()) return Stay::may;
+  if (connection.standing == Standing::silent)
+    return now - connection.came > kFirstWord ? Stay::unused : Stay::may;
+  const Duration limit = connection.standing == Standing::tested ? kIdleLimitTested : kIdleLimit;
+  return now - connection.stream->last_used() > limit ? Stay::unused : Stay::may;
 }
 
-// Connections that nobody uses are reclaimed, so that silent callers cannot hold what others need.
+// Connections that nobody uses are reclaimed, so that silent callers cannot hold what others need. They come
+// and go all day, so nothing is logged of those.
 void BinaryFront::sweep() {
   std::vector<const Stream*> over;
   for (const auto& [stream, connection] : connections_) {
-    if (overstayed(connection)) over.push_back(stream);
+    if (stay_of(connection) != Stay::may) over.push_back(stream);
   }
   for (const Stream* const stream : over) {
     const auto found = connections_.find(stream);
-    if (found == connections_.end()) continue;
-    if (const char* const why = overstayed(found->second)) close(found, why);
+    const Stay stay = found == connections_.end() ? Stay::may : stay_of(found->second);
+    if (stay == Stay::may) continue;
+    close(found, stay == Stay::stalled ? "half a message" : stay == Stay::unread ? "does not read" : nullptr);
   }
   while (connections_.size() > most_connections_ && make_room()) {
   }
--- a/src/front/binary.hpp
+++ b/src/front/binary.hpp
@@ -57,7 +57,8 @@
   Connection* owner_of(CallId call);
   Connection* settle(CallId call);
   void close(Connections::const_iterator connection, const char* why);
-  const char* overstayed(const Connection& connection) const;
+  enum class Stay { may, unused, stalled, unread };
+  Stay stay_of(const Connection& connection) const;
   Connections::const_iterator least_missed() const;
   bool make_room();
   void sweep();
--- a/src/net/servers.cpp
+++ b/src/net/servers.cpp
@@ -21,7 +21,9 @@
 // all of them if the server brings nothing at all for long: its machine may be cut off.
 constexpr Duration kSilentBesideOthers = milliseconds(150);
 constexpr Duration kOvertakenBy = milliseconds(50);
-constexpr Duration kSilentAltogether = milliseconds(2000);
+constexpr Duration kSilentAltogether = milliseconds(3000);
+// By then the server knows that a connection was closed from here, and has written to it for the last time.
+constexpr Duration kCloseHeard = milliseconds(250);
 constexpr Duration kWatch = milliseconds(50);
 // A release that was written this shortly before its connection broke may not have been read.
 constexpr Duration kUnreadFor = milliseconds(1000);
@@ -70,6 +72,7 @@
 Servers::~Servers() {
   if (watch_timer_) loop_.cancel(*watch_timer_);
   for (auto& [id, link] : links_) {
+    if (link.refresh) loop_.cancel(*link.refresh);
     for (Lane& lane : link.lanes) close_lane(lane);
   }
 }
@@ -80,6 +83,14 @@
   return link;
 }
 
+std::optional<Time> Servers::Lane::owes() const {
+  std::optional<Time> first = given_up;
+  for (const auto& [call, sent] : out) {
+    if (sent > heard && (!first || sent < *first)) first = sent;
+  }
+  return first;
+}
+
 Servers::Place Servers::place_of(const Stream& stream) {
   for (auto& [id, link] : links_) {
     for (Lane& lane : link.lanes) {
@@ -94,7 +105,7 @@
 Servers::Lane* Servers::best_lane(Link& link) {
   Lane* best = nullptr;
   const auto rank = [this](const Lane& lane) {
-    const bool doubtful = lane.cut_short || (lane.owes && loop_.now() - *lane.owes > kOvertakenBy);
+    const bool doubtful = lane.cut_short || loop_.now() - lane.owes().value_or(loop_.now()) > kOvertakenBy;
     return std::pair(doubtful, lane.out.size());
   };
   for (Lane& lane : link.lanes) {
@@ -114,6 +125,7 @@
   if (found == links_.end()) return;
   Link gone = std::move(found->second);
   links_.erase(found);
+  if (gone.refresh) loop_.cancel(*gone.refresh);
   for (Lane& lane : gone.lanes) close_lane(lane);
   for (Lane& lane : gone.lanes) {
     for (const auto& [call, sent] : lane.out) owner_.broke(server, call, Break::sent);
@@ -130,8 +142,9 @@
   loop_.bury(std::exchange(lane.stream, nullptr));
 }
 
-// One more connection, if there is room.
+// One more connection, if there is room. One that is due later takes its place, unless none is up.
 void Servers::connect(Link& link) {
+  if (link.refresh && best_lane(link)) return;
   for (Lane& lane : link.lanes) {
     if (!lane.stream) return connect(link, lane);
     if (!lane.up()) return;  // on its way already
@@ -142,7 +155,8 @@
   if (lane.stream) return;
   if (lane.retry) loop_.cancel(*std::exchange(lane.retry, std::nullopt));
   lane.cut_short.reset();
-  lane.owes.reset();
+  lane.given_up.reset();
+  lane.heard = loop_.now();
   lane.stream = std::make_shared<Stream>(loop_, socket_address(link.server), connect_timeout_,
                                          static_cast<Stream::Owner&>(*this), Rank::servers);
 }
@@ -180,7 +194,14 @@
   if (unsent > 0) return;  // never left
   Lane* lane = nullptr;
   for (Lane& each : to.lanes) {
-    if (each.out.erase(call) > 0) lane = &each;
+    const auto out = each.out.find(call);
+    if (out == each.out.end()) continue;
+    lane = &each;
+    // What is given up here is no sign of silence, unless others had overtaken it.
+    const Time sent = out->second;
+    const bool overtaken = sent > each.heard && sent + kOvertakenBy < to.answered_to;
+    if (overtaken && !each.given_up) each.given_up = sent;
+    each.out.erase(out);
   }
   if (!lane || !lane->up()) lane = best_lane(to);
   Waiting what{false, {}, cause};
@@ -200,7 +221,6 @@
 void Servers::write(Lane& lane, const Waiting& what) {
   if (what.is_offer) {
     lane.out[what.offer.call] = loop_.now();
-    if (!lane.owes) lane.owes = loop_.now();
     return lane.stream->send(offer_segment(what.offer, what.offer.until - loop_.now()));
   }
   while (!lane.ended.empty() && loop_.now() - lane.ended.front().first > kUnreadFor) lane.ended.pop_front();
@@ -228,7 +248,8 @@
       return;
     }
     at.lane->cut_short.reset();
-    at.lane->owes.reset();
+    at.lane->given_up.reset();
+    at.lane->heard = loop_.now();
     auto line = length <= kLongestMessage ? parse_server_line(input.substr(0, length)) : std::nullopt;
     if (!line) return lose(stream, "malformed line");
     stream.consume(length + 1);
@@ -257,9 +278,22 @@
   if (!at.link) return;
   log_.line("server %s: %s, connection closed", server_text(at.link->server).c_str(), why);
   stream.close();
+  refresh_soon(*at.link);
   lost(stream, Lost::closed);
 }
 
+// A release that was on its way on a connection that is closed here comes again on the next one opened, but
+// only if that opens after the server has written it.
+void Servers::refresh_soon(Link& link) {
+  if (link.refresh) loop_.cancel(*link.refresh);
+  link.refresh = loop_.at(loop_.now() + kCloseHeard, [this, server = link.server] {
+    const auto found = links_.find(server);
+    if (found == links_.end()) return;
+    found->second.refresh.reset();
+    connect(found->second);
+  });
+}
+
 // The end of a connection gives up the set-ups on it; the calls that stand there go on. Only if the process
 // refuses the next connection is it gone, and its calls with it.
 void Servers::lost(Stream& stream, Lost how) {
@@ -314,8 +348,9 @@
   for (auto& [id, link] : links_) {
     for (Lane& lane : link.lanes) {
       if (!lane.up()) continue;
-      const Duration silent = lane.owes ? now - *lane.owes : Duration{0};
-      const bool overtaken = lane.owes && *lane.owes + kOvertakenBy < link.answered_to;
+      const Time owes = lane.owes().value_or(now);
+      const Duration silent = now - owes;
+      const bool overtaken = owes + kOvertakenBy < link.answered_to;
       if (lane.cut_short && now - *lane.cut_short > kLongestCut) {
         useless.emplace_back(lane.stream, "half a line");
       } else if (silent > (overtaken ? kSilentBesideOthers : kSilentAltogether)) {
--- a/src/net/servers.hpp
+++ b/src/net/servers.hpp
@@ -78,12 +78,15 @@
     std::shared_ptr<Stream> stream{};
     std::map<CallId, Time> out{};                  // set-ups written and not answered, by their send
     std::deque<std::pair<Time, Waiting>> ended{};  // releases written a short while ago
-    std::optional<Time> owes{};       // when the first set-up was sent on it since its last whole line
+    Time heard{};                                  // the last whole line
+    std::optional<Time> given_up{};   // since then: when a set-up was sent that was overtaken and given up
     std::optional<Time> cut_short{};  // since when a line has been waiting for its rest
     Duration pause{};                 // before the next try
     std::optional<Loop::TimerId> retry{};
 
     bool up() const { return stream && stream->up(); }
+    // When the first set-up was sent on it that it has brought nothing since.
+    std::optional<Time> owes() const;
   };
   struct Link {
     ServerId server{};
@@ -92,6 +95,7 @@
     std::vector<Waiting> waiting{};  // until a connection is up
     bool kept = false;
     bool broken = false;  // a connection was lost and none is up since; the process may be gone
+    std::optional<Loop::TimerId> refresh{};  // a new connection is due: see lose()
   };
   struct Place {
     Link* link = nullptr;
@@ -111,6 +115,7 @@
   void write(Lane& lane, const Waiting& what);
   void handle(const Place& at, ServerLine line);
   void lose(Stream& stream, const char* why);
+  void refresh_soon(Link& link);
   void close_lane(Lane& lane);
   void watch();
 
--- a/tests/rough_test.cpp
+++ b/tests/rough_test.cpp
@@ -210,6 +210,27 @@
   until(again, "the set-up that got no answer");
 }
 
+// What a server had on its way when a connection was closed from here is said again on the next one that
+// opens: one has to open after the server knew.
+TEST_F(Program, AfterAConnectionWasClosedFromHereANewOneOpensOnceTheServerKnows) {
+  open_server();
+  Peer gateway = caller(), other, fresh;
+  gateway.say(setup(0xaa, "d"));
+  hears(server, "00000000000000aa");
+  gateway.say(setup(0xbb, "d"));
+  until([&] { return static_cast<bool>(other = listener.accept()); }, "a second connection");
+  other.say("{\"noise\n");
+  until([&] { return other.ended(); }, "the close of the spoilt one");
+  const Time closed = loop.now();
+  until([&] { return static_cast<bool>(fresh = listener.accept()); }, "the new one");
+  EXPECT_GE(loop.now() - closed, milliseconds(200)) << "before the server can have known";
+  // And a withdrawal is no silence: the connection that owes nothing any more stays.
+  gateway.say(binary(12, 0xbb, {{208, "\x10"}}) + binary(12, 0xaa, {{208, "\x10"}}));
+  hears(server, line("end", "00000000000000aa", "\"why\":16"));
+  settle(300);
+  EXPECT_FALSE(server.ended());
+}
+
 // What was released must not stay standing because the connection broke before it was read.
 TEST_F(Program, AReleaseOutlivesItsConnection) {
   open_server();
