Do not say the release of an earlier attempt again once its call is out anew

Changed: an offer takes earlier releases of its call off what is said again (Servers::write). A late answer to a call that waits to be sent again is not released a second time (Planner::stood): that release could overtake the next offer on another connection.

--- a/src/core/planner.cpp
+++ b/src/core/planner.cpp
@@ -156,6 +156,9 @@
   // A late answer to a set-up that was given up: nobody will ever use the call.
   if (!current || !exchange->owed()) {
     if (exchange && exchange->stands() && exchange->attempt->server == server) return;  // told twice
+    // The attempt was ended when it was given up. To end it again while the call waits to be sent again could
+    // cut the next attempt, which may go to the same server on another connection.
+    if (exchange && exchange->owed() && !exchange->attempt) return;
     servers_.end(server, line.call, cause::kNormal);
     if (current) attempt_ended(*exchange, Ending::cancelled);
     return;
--- a/src/net/servers.cpp
+++ b/src/net/servers.cpp
@@ -178,7 +178,7 @@
   Waiting what{true, std::move(offer), 0};
   if (Lane* const lane = best_lane(to)) {
     if (!lane->out.empty()) connect(to);  // the next need not share it
-    return write(*lane, what);
+    return write(to, *lane, what);
   }
   if (to.waiting.size() >= kMostWaiting) return owner_.broke(server, what.offer.call, Break::unreachable);
   to.waiting.push_back(std::move(what));
@@ -206,7 +206,7 @@
   if (!lane || !lane->up()) lane = best_lane(to);
   Waiting what{false, {}, cause};
   what.offer.call = call;
-  if (lane) return write(*lane, what);
+  if (lane) return write(to, *lane, what);
   // A call that stands survives its connection, and so does what ends it.
   if (to.waiting.size() < kMostWaiting) to.waiting.push_back(std::move(what));
   connect(to);
@@ -218,8 +218,12 @@
   }
 }
 
-void Servers::write(Lane& lane, const Waiting& what) {
+void Servers::write(Link& link, Lane& lane, const Waiting& what) {
   if (what.is_offer) {
+    // A release of its attempt before, said again from now on, would cut this one.
+    for (Lane& each : link.lanes) {
+      std::erase_if(each.ended, [&](const auto& item) { return item.second.offer.call == what.offer.call; });
+    }
     lane.out[what.offer.call] = loop_.now();
     return lane.stream->send(offer_segment(what.offer, what.offer.until - loop_.now()));
   }
@@ -233,7 +237,7 @@
   if (!at.link) return;
   at.lane->pause = Duration{0};
   at.link->broken = false;
-  for (const Waiting& what : std::exchange(at.link->waiting, {})) write(*at.lane, what);
+  for (const Waiting& what : std::exchange(at.link->waiting, {})) write(*at.link, *at.lane, what);
 }
 
 void Servers::arrived(Stream& stream) {
@@ -315,7 +319,7 @@
     for (const auto& [when, what] : ended) {
       if (loop_.now() - when > kUnreadFor) continue;
       if (other) {
-        write(*other, what);
+        write(*at.link, *other, what);
       } else if (at.link->waiting.size() < kMostWaiting) {
         at.link->waiting.push_back(what);
       }
--- a/src/net/servers.hpp
+++ b/src/net/servers.hpp
@@ -112,7 +112,7 @@
   void connect(Link& link);
   void connect(Link& link, Lane& lane);
   void try_again(Link& link, Lane& lane);
-  void write(Lane& lane, const Waiting& what);
+  void write(Link& link, Lane& lane, const Waiting& what);
   void handle(const Place& at, ServerLine line);
   void lose(Stream& stream, const char* why);
   void refresh_soon(Link& link);
--- a/tests/rough_test.cpp
+++ b/tests/rough_test.cpp
@@ -244,6 +244,34 @@
   hears(server, line("end", kId, "\"why\":16"));
 }
 
+// A call that was given up at a server may stand there by a later attempt when the connection of the first
+// breaks: the release of the first, said again, would cut it behind its caller's back.
+TEST_F(Program, AReleaseOfAnEarlierAttemptDoesNotCutTheNext) {
+  struct Ignores : Servers::Owner {
+    void stood(const ServerId&, ServerLine) override {}
+    void released(const ServerId&, const ServerLine&) override {}
+    void broke(const ServerId&, CallId, Break) override {}
+    void told(const ServerId&, const LoadReport&) override {}
+    void died(const ServerId&) override {}
+  } owner;
+  Servers servers(loop, log, owner, milliseconds(500));
+  const ServerId id = host(listener, 0).entry.id;
+  servers.keep(id);
+  until([&] { return static_cast<bool>(server = listener.accept()); }, "the connection");
+  settle();
+  const Offer offer{0xaa, "voice", "1", "d", loop.now() + milliseconds(5000)};
+  servers.offer(id, offer);
+  servers.end(id, 0xaa, cause::kNormal);
+  servers.end(id, 0xbb, cause::kNormal);
+  servers.offer(id, offer);
+  until([&] { return count(server.heard(), "offer") == 2; }, "both attempts");
+  server.reset();
+  until([&] { return static_cast<bool>(server = listener.accept()); }, "the next connection");
+  hears(server, line("end", "00000000000000bb", "\"why\":16"));
+  settle();
+  EXPECT_EQ(count(server.heard(), kId), 0u);
+}
+
 TEST_F(Program, AnswersToWhatWasNeverAskedAreIgnored) {
   open_server();
   Peer gateway = caller();
