--- a/src/acme/keeper.cpp
+++ b/src/acme/keeper.cpp
@@ -619,14 +619,20 @@
     wait(longer);
     reply = client.order(record->url);
   };
-  for (bool authorized = false;;) {
+  bool authorized = false;
+  for (;;) {
     switch (next_step(*record, reply.view, environment_.now(), settings_.order_patience)) {
       case Step::authorize:
         if (std::exchange(authorized, true)) {
           look_again("the order stays pending though every authorization is valid");
           break;
         }
-        for (const std::string& url : reply.view.authorizations) prove(managed, *session, url);
+        try {
+          for (const std::string& url : reply.view.authorizations) prove(managed, *session, url);
+        } catch (const AcmeError& error) {
+          if (error.why == Failure::rejected) drop_order(managed, *record);  // it is invalid with it
+          throw;
+        }
         reply = client.order(record->url);
         break;
       case Step::finalize:
@@ -650,6 +656,8 @@
       case Step::search:
       case Step::abandon:
         drop_order(managed, *record);
+        // What was left of an earlier attempt has come to nothing meanwhile: this one has not begun yet.
+        if (taken_up && !authorized && !record->finalized) return issue(managed, authority);
         throw AcmeError(
             reply.error ? reply.error->failure() : Failure::rejected,
             "the order came to nothing" + (reply.error ? ": " + reply.error->plain() : std::string()));
--- a/src/acme/settings.cpp
+++ b/src/acme/settings.cpp
@@ -194,9 +194,25 @@
   return policy;
 }
 
+// The parser's own library has undefined behaviour at some letters beyond ASCII in a bare key (toml++ 3.3),
+// so they are kept from it; comments may have them.
+void check_ascii(std::string_view text) {
+  int line = 1;
+  bool comment = false;
+  for (const char c : text) {
+    if (c == '\n') ++line, comment = false;
+    if (c == '#') comment = true;
+    if (!comment && static_cast<unsigned char>(c) >= 0x80) {
+      throw SettingsError("line " + std::to_string(line) +
+                          ": no TOML: a character beyond ASCII outside a comment");
+    }
+  }
+}
+
 }  // namespace
 
 Settings parse_settings(std::string_view text) {
+  check_ascii(text);
   try {
     const toml::table table = toml::parse(text);
     Section section(table, "");
--- a/src/certificates.cpp
+++ b/src/certificates.cpp
@@ -23,6 +23,9 @@
   // The first one on the caller's thread: what is on disk is served from the first connection on.
   keeper_ = std::make_unique<acme::Keeper>(std::move(settings), log, registry_,
                                            acme::Environment::real(round_.get_token()));
+}
+
+void Certificates::begin() {
   thread_ = std::jthread([this](const std::stop_token& stop) { run(stop); });
 }
 
--- a/src/certificates.hpp
+++ b/src/certificates.hpp
@@ -22,6 +22,8 @@
 
   static acme::Settings read(const char* path);
 
+  // Begins to renew. The TLS port must be listened on by now: the authority is asked to look at it.
+  void begin();
   const char* path() const { return path_; }
   const std::shared_ptr<tls::Registry>& registry() const { return registry_; }
   // New settings, taken up by the thread: the caller does not wait.
--- a/src/serve.cpp
+++ b/src/serve.cpp
@@ -91,6 +91,7 @@
 
   void run(const std::function<std::size_t()>& owed, const std::function<bool()>& idle,
            const std::function<void(bool stopping)>& each_pass, const Reload& reload) {
+    if (certificates_) certificates_->begin();
     for (bool told = false;;) {
       loop_.pass(signals_.stop_came() ? milliseconds(20) : milliseconds(1000));
       if (signals_.take_reload()) read_again(reload);
