--- a/src/certificates.cpp
+++ b/src/certificates.cpp
@@ -5,7 +5,7 @@
 
 namespace quartzarch {
 
-acme::Settings Certificates::read(const char* path) {
+acme::Settings Certificates::read(const std::string& path) {
   try {
     return acme::parse_settings(read_file(path));
   } catch (const acme::SettingsError& error) {
@@ -13,7 +13,7 @@
   }
 }
 
-Certificates::Certificates(Logger& log, const char* path, bool tls_port) : log_(log), path_(path) {
+Certificates::Certificates(Logger& log, const std::string& path, bool tls_port) : log_(log), path_(path) {
   acme::Settings settings = read(path);
   const auto& ways = settings.challenges;
   if (!tls_port && std::find(ways.begin(), ways.end(), "http-01") == ways.end()) {
@@ -29,6 +29,10 @@
   thread_ = std::jthread([this](const std::stop_token& stop) { run(stop); });
 }
 
+std::function<void()> Certificates::read_again() {
+  return [this, fresh = read(path_)] { take(fresh); };
+}
+
 void Certificates::take(acme::Settings settings) {
   const std::lock_guard lock(mutex_);
   fresh_ = std::move(settings);
--- a/src/certificates.hpp
+++ b/src/certificates.hpp
@@ -10,32 +10,31 @@
 
 #include "acme/keeper.hpp"
 #include "config.hpp"
+#include "serve.hpp"
 
 namespace quartzarch {
 
-class Certificates {
+class Certificates : public KeptCertificates {
  public:
   // Throws ConfigError if the file is bad, std::runtime_error if the state cannot be trusted. `tls_port`:
   // whether the process has one, which tls-alpn-01 is answered on.
-  Certificates(Logger& log, const char* path, bool tls_port);
-  ~Certificates() { stop(); }
+  Certificates(Logger& log, const std::string& path, bool tls_port);
+  ~Certificates() override { stop(); }
 
-  static acme::Settings read(const char* path);
+  static acme::Settings read(const std::string& path);
 
-  // Begins to renew. The TLS port must be listened on by now: the authority is asked to look at it.
-  void begin();
-  const char* path() const { return path_; }
-  const std::shared_ptr<tls::Registry>& registry() const { return registry_; }
-  // New settings, taken up by the thread: the caller does not wait.
-  void take(acme::Settings settings);
-  // Tells the thread to end; the caller does not wait for it.
-  void stop() { thread_.request_stop(); }
+  const std::string& path() const override { return path_; }
+  std::shared_ptr<tls::Registry> registry() const override { return registry_; }
+  void begin() override;
+  std::function<void()> read_again() override;
+  void stop() override { thread_.request_stop(); }
 
  private:
+  void take(acme::Settings settings);
   void run(const std::stop_token& stop);
 
   Logger& log_;
-  const char* path_;
+  std::string path_;
   std::shared_ptr<tls::Registry> registry_ = std::make_shared<tls::Registry>();
   std::mutex mutex_;
   std::optional<acme::Settings> fresh_{};
--- a/src/cli/certs.cpp
+++ b/src/cli/certs.cpp
@@ -22,7 +22,7 @@
                                           {"cessationOfOperation", 5}, {"privilegeWithdrawn", 9}};
 
 acme::Keeper keeper_of(const std::string& file, Logger& log) {
-  acme::Settings settings = Certificates::read(file.c_str());
+  acme::Settings settings = Certificates::read(file);
   settings.settle = std::max(settings.settle, kSettle);
   return {std::move(settings), log, nullptr, acme::Environment::real({})};
 }
@@ -212,7 +212,7 @@
 int Certs::check() const {
   const std::string text = read_file(checked_);
   if (text.find("-----BEGIN") != std::string::npos) return check_certificate(checked_, text, json_);
-  const acme::Settings settings = Certificates::read(checked_.c_str());
+  const acme::Settings settings = Certificates::read(checked_);
   if (json_) {
     std::printf("{\"file\":%s,\"sound\":true,\"certificates\":%zu,\"authorities\":%zu}\n",
                 acme::in_quotes(checked_).c_str(), settings.certificates.size(), settings.authorities.size());
--- a/src/cli/command_line.cpp
+++ b/src/cli/command_line.cpp
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <cstdio>
 
+#include "certificates.hpp"
 #include "cli/certs.hpp"
 #include "serve.hpp"
 
@@ -58,6 +59,9 @@
     log.line("usage: %s (quartzarch --help tells more)", wrong.c_str());
     return 2;
   }
+  serve_options.make_certificates = [](Logger& to, const std::string& path, bool tls_port) {
+    return std::make_unique<Certificates>(to, path, tls_port);
+  };
   return serve(log, serve_options);
 }
 
--- a/src/serve.cpp
+++ b/src/serve.cpp
@@ -10,7 +10,6 @@
 #include <functional>
 #include <optional>
 
-#include "certificates.hpp"
 #include "config.hpp"
 #include "core/planner.hpp"
 #include "front/binary.hpp"
@@ -87,7 +86,7 @@
       : loop_(loop), log_(log), config_path_(config_path), signals_(loop) {}
 
   // Its settings are read again with the configuration; it is told of the stop.
-  void with(Certificates* certificates) { certificates_ = certificates; }
+  void with(KeptCertificates* certificates) { certificates_ = certificates; }
 
   void run(const std::function<std::size_t()>& owed, const std::function<bool()>& idle,
            const std::function<void(bool stopping)>& each_pass, const Reload& reload) {
@@ -109,26 +108,26 @@
  private:
   // All of it is taken or nothing: after a bad file everything goes on as it was.
   void read_again(const Reload& reload) {
-    const char* reading = config_path_;
+    std::string reading = config_path_;
     try {
       const Config fresh = parse_config(read_file(config_path_));
-      std::optional<acme::Settings> kept;
+      std::function<void()> take_certificates;
       if (certificates_) {
         reading = certificates_->path();
-        kept = Certificates::read(reading);
+        take_certificates = certificates_->read_again();
       }
       reload(fresh);
-      if (kept) certificates_->take(std::move(*kept));
+      if (take_certificates) take_certificates();
       log_.line("configuration: read again");
     } catch (const ConfigError& error) {
-      log_.line("configuration: %s: %s; the old one goes on", reading, error.what());
+      log_.line("configuration: %s: %s; the old one goes on", reading.c_str(), error.what());
     }
   }
 
   Loop& loop_;
   Logger& log_;
   const char* config_path_;
-  Certificates* certificates_ = nullptr;
+  KeptCertificates* certificates_ = nullptr;
   Signals signals_;
 };
 
@@ -234,11 +233,11 @@
   if (options.planner && *options.planner >= planners.size()) {
     throw ConfigError("there is no planner " + std::to_string(*options.planner));
   }
-  std::optional<Certificates> certificates;
+  std::unique_ptr<KeptCertificates> certificates;
   if (options.certs) {
     files.reading = options.certs->c_str();
-    certificates.emplace(log, options.certs->c_str(), sip && sip->listening.tls);
-    service.with(&*certificates);
+    certificates = options.make_certificates(log, *options.certs, sip && sip->listening.tls);
+    service.with(certificates.get());
     if (sip) sip->listening.certificates = certificates->registry();
   }
   if (options.planner) {
--- a/src/serve.hpp
+++ b/src/serve.hpp
@@ -1,19 +1,40 @@
 // The program that serves: the fronts, the planner or the link to planners, and the certificates, wired up.
 #pragma once
 
+#include <functional>
+#include <memory>
 #include <optional>
 #include <string>
 
 #include "log.hpp"
+#include "tls/registry.hpp"
 
 namespace quartzarch {
 
+// The certificates that a process keeps itself, as serving sees them. What makes them is given from above, so
+// that a program that keeps none carries nothing of it.
+class KeptCertificates {
+ public:
+  virtual ~KeptCertificates() = default;
+  virtual const std::string& path() const = 0;
+  virtual std::shared_ptr<tls::Registry> registry() const = 0;
+  // Begins to renew. The TLS port must be listened on by now: the authority is asked to look at it.
+  virtual void begin() = 0;
+  // Reads the file again; the step that takes it up, which does not wait. Throws ConfigError.
+  virtual std::function<void()> read_again() = 0;
+  // Tells it to end; does not wait.
+  virtual void stop() = 0;
+};
+
 struct ServeOptions {
   std::optional<std::string> sip{};     // the SIP front's file
   std::optional<std::string> levels{};  // the planners' addresses
   std::optional<std::string> certs{};   // the certificates that the program keeps itself
   std::optional<std::size_t> planner{};
   bool forwarder = false;
+  // Throws ConfigError if the file is bad. `tls_port`: whether the process has one.
+  std::function<std::unique_ptr<KeptCertificates>(Logger& log, const std::string& path, bool tls_port)>
+      make_certificates{};
 };
 
 // Serves until it is told to stop. The exit code: 0, 2 after a bad configuration (one line said so), 1
--- a/tests/process.hpp
+++ b/tests/process.hpp
@@ -68,6 +68,10 @@
     }
     FAIL() << "never came: " << what;
   }
+  // It listens: its connections to setup servers come before that.
+  void serves() {
+    until([&] { return log().find("serving at") != std::string::npos; }, "the start");
+  }
   void hears(Peer& peer, const std::string& text) {
     until([&] { return peer.heard().find(text) != std::string::npos; }, text.c_str());
   }
--- a/tests/process_test.cpp
+++ b/tests/process_test.cpp
@@ -9,6 +9,7 @@
   start(config());
   Peer server;
   until([&] { return static_cast<bool>(server = listener.accept()); }, "its connection");
+  serves();
   Peer first = Peer::connect(address);
   first.say(setup(0xaa, "d"));
   hears(server, "00000000000000aa");
@@ -34,6 +35,7 @@
   start(config());
   Peer server, stream;
   until([&] { return static_cast<bool>(server = listener.accept()); }, "its connection");
+  serves();
   until([&] { return static_cast<bool>(stream = coordinator.accept()); }, "its stream");
   hears(stream, "Last-Event-ID: 1\r\n");
   Peer gateway = Peer::connect(address);
