Decide gaps on mass calls: rules, slots for those who wait, an index and a sketch

Measured: 13 tests under ctest -L gap, among them the index against a scan and the bound of a bucket for any calls.

--- /dev/null
+++ b/src/gap/network.hpp
@@ -0,0 +1,37 @@
+// Addresses of callers and sets of them, IPv4 and IPv6, by Boost.Asio. No I/O.
+#pragma once
+
+#include <boost/asio/ip/address.hpp>
+#include <boost/asio/ip/network_v4.hpp>
+#include <boost/asio/ip/network_v6.hpp>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <variant>
+
+namespace quartzarch::gap {
+
+using Address = boost::asio::ip::address;
+
+// "10.2.0.0/16", "2001:db8::/32", or a single address.
+class Network {
+ public:
+  // Nothing if it is none.
+  static std::optional<Network> parse(std::string_view text);
+  bool contains(const Address& address) const;
+  unsigned prefix_length() const;
+  std::string str() const;
+  // The family and the bits of the prefix, as a key: "4" or "6", then '0' and '1'.
+  std::string bits() const;
+
+ private:
+  using Either = std::variant<boost::asio::ip::network_v4, boost::asio::ip::network_v6>;
+  explicit Network(Either network) : network_(std::move(network)) {}
+  Either network_;
+};
+
+// All bits of an address, as bits() of a network has them. A v4-mapped IPv6 address counts as IPv4.
+std::string bits_of(const Address& address);
+Address plain(const Address& address);
+
+}  // namespace quartzarch::gap
--- /dev/null
+++ b/src/gap/sketch.hpp
@@ -0,0 +1,70 @@
+// Heavy hitters among the numbers called, in fixed memory: space-saving (Metwally, Agrawal, El Abbadi, 2005)
+// in panes of time. No I/O; time is passed in.
+//
+// Over one pane with k counters and N calls, a number called more than N / k times is there, and its count is
+// over the true one by at most N / k; the window's error is the sum over its panes.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+#include "quartzarch/controller.hpp"
+
+namespace quartzarch::gap {
+
+struct Hitter {
+  std::string number{};
+  std::uint64_t offered = 0;  // at most `error` too many
+  std::uint64_t error = 0;
+  std::uint64_t answered = 0, refused = 0;  // while it was counted
+};
+
+class SpaceSaving {
+ public:
+  explicit SpaceSaving(std::size_t counters) : most_(counters) { at_.reserve(counters); }
+
+  void offered(std::string_view number, std::uint64_t count = 1);
+  void answered(std::string_view number);
+  void refused(std::string_view number);
+  std::uint64_t total() const { return total_; }
+  // The largest first.
+  std::vector<Hitter> top(std::size_t count) const;
+  std::size_t bytes() const;
+
+ private:
+  using ByCount = std::multimap<std::uint64_t, Hitter>;
+  Hitter* find(std::string_view number);
+
+  std::size_t most_;
+  ByCount counters_{};
+  std::unordered_map<std::string, ByCount::iterator> at_{};
+  std::uint64_t total_ = 0;
+};
+
+class HitterWindow {
+ public:
+  HitterWindow(std::size_t counters, std::size_t panes, Duration pane)
+      : counters_(counters), panes_(panes), length_(pane) {}
+
+  void offered(Time now, std::string_view number) { pane(now).offered(number); }
+  void answered(Time now, std::string_view number) { pane(now).answered(number); }
+  void refused(Time now, std::string_view number) { pane(now).refused(number); }
+  // Over the panes of the window that ends now.
+  std::vector<Hitter> top(Time now, std::size_t count);
+  std::uint64_t total(Time now);
+  Duration window() const { return length_ * static_cast<long>(panes_); }
+
+ private:
+  SpaceSaving& pane(Time now);
+  void turn(Time now);
+
+  std::size_t counters_, panes_;
+  Duration length_;
+  std::map<std::int64_t, SpaceSaving> at_{};  // by the number of the pane since the epoch
+};
+
+}  // namespace quartzarch::gap
--- /dev/null
+++ b/src/gap/table.cpp
@@ -0,0 +1,432 @@
+#include "gap/table.hpp"
+
+#include <algorithm>
+#include <boost/histogram.hpp>
+#include <cmath>
+
+namespace quartzarch::gap {
+namespace {
+
+namespace histogram = boost::histogram;
+using std::chrono::duration_cast;
+using std::chrono::milliseconds;
+
+constexpr double kHardly = 1e-9;
+constexpr Duration kShortestWait = milliseconds(1);
+constexpr Duration kRefusedFor = std::chrono::seconds(60);  // what a percentage remembers of a first try
+constexpr double kLeastKept = 0.3;                          // of slots, for overbooking
+constexpr std::size_t kMostRevisions = 100000;
+
+auto wait_histogram() {
+  return histogram::make_histogram(
+      histogram::axis::regular<double, histogram::axis::transform::log>(24, 1, 100000));
+}
+
+std::uint64_t hash(std::uint64_t value, std::string_view text) {
+  for (const char c : text) value = (value ^ static_cast<unsigned char>(c)) * 1099511628211u;
+  return (value ^ 0xff) * 1099511628211u;
+}
+
+// Whose first try a repeat is tied to: the caller's address, the number and the class.
+std::uint64_t key_of(const Call& call) {
+  std::uint64_t key = hash(14695981039346656037u, call.number);
+  key = hash(key, call.call_class);
+  const Address address = plain(call.caller);
+  if (address.is_v4()) return hash(key, std::to_string(address.to_v4().to_uint()));
+  const auto bytes = address.to_v6().to_bytes();
+  return hash(key, std::string_view(reinterpret_cast<const char*>(bytes.data()), bytes.size()));
+}
+
+}  // namespace
+
+struct Table::State {
+  Rule rule{};
+  Counts counts{};
+  decltype(wait_histogram()) waits = wait_histogram();
+
+  // The allowance: one call every `period`, `burst` at once.
+  Duration period{};
+  double burst = 1;
+  double tokens = 1;
+  Time filled{};
+
+  std::multiset<Time> slots{};                               // not claimed yet
+  std::unordered_map<std::uint64_t, std::deque<Time>> of{};  // whose they are
+  double kept = 1;                                           // share of slots claimed, lately
+  // Until when those were told to stay away for whom there was no slot.
+  std::unordered_map<std::uint64_t, std::deque<Time>> away{};
+  std::size_t away_remembered = 1024;
+
+  double owed = 0;  // percentage: what first tries have gathered
+  std::unordered_map<std::uint64_t, std::deque<Time>> turned_away{};
+  std::size_t remembered = 1024;  // of those, before they are gone through
+
+  bool metered() const {
+    return rule.control.kind == Control::Kind::interval || rule.control.kind == Control::Kind::bucket;
+  }
+  void set(double share, Time now) {
+    if (!metered()) return;
+    const bool bucket = rule.control.kind == Control::Kind::bucket;
+    const double us = bucket ? 1e6 / rule.control.rate : static_cast<double>(rule.control.interval.count());
+    period = Duration(std::max<std::int64_t>(std::llround(us / share), 1));
+    burst = bucket ? std::max(rule.control.burst * share, 1.0) : 1;
+    if (filled == Time{}) {
+      // It begins with nothing saved up but the first call.
+      tokens = 1;
+      filled = now;
+    }
+    tokens = std::min(tokens, burst);
+  }
+  double available(Time now) const {
+    const double gained = static_cast<double>((now - filled).count()) / static_cast<double>(period.count());
+    return std::min(burst, tokens + std::max(gained, 0.0));
+  }
+  // Slots whose time has come and that may still be claimed.
+  double due(Time now, Duration grace) const {
+    return static_cast<double>(
+        std::distance(slots.lower_bound(now - kept_back(grace)), slots.upper_bound(now)));
+  }
+  // How long the allowance waits for whoever has a slot, before it goes to anybody: the shorter, the fewer
+  // come.
+  Duration kept_back(Duration grace) const {
+    const Duration longest = std::min(grace, std::max<Duration>(period / 2, milliseconds(20)));
+    return Duration(std::llround(static_cast<double>(longest.count()) * kept));
+  }
+  bool holds_due(std::uint64_t key, Time now, Duration grace) const {
+    const auto found = of.find(key);
+    if (found == of.end()) return false;
+    return std::any_of(found->second.begin(), found->second.end(),
+                       [&](Time at) { return at <= now && at >= now - grace; });
+  }
+};
+
+Table::Table(const Bounds& bounds, std::uint64_t seed) : bounds_(bounds), random_(seed) {}
+Table::~Table() = default;
+
+// ---- Rules
+
+Table::Taken Table::announce(Rule rule, Time given) {
+  const Time now = forward(given);
+  const auto known = revisions_.find(rule.id);
+  const auto state = states_.find(rule.id);
+  if (known != revisions_.end() && rule.revision <= known->second) {
+    return rule.revision == known->second && state != states_.end() ? Taken::same : Taken::older;
+  }
+  if (state == states_.end() && states_.size() >= bounds_.rules) return Taken::full;
+  if (revisions_.size() >= kMostRevisions && known == revisions_.end()) return Taken::full;
+  revisions_[rule.id] = rule.revision;
+  auto& made = states_[rule.id];
+  if (!made) made = std::make_unique<State>();
+  // A rule that changes keeps its counts, and what it has promised.
+  made->rule = std::move(rule);
+  made->set(share_, now);
+  rebuild();
+  return Taken::taken;
+}
+
+bool Table::lift(const std::string& id, std::uint64_t revision, Time given) {
+  forward(given);
+  auto& known = revisions_[id];
+  if (revision <= known) return false;
+  known = revision;
+  const auto found = states_.find(id);
+  if (found == states_.end()) return false;
+  slots_ -= found->second->slots.size();
+  states_.erase(found);
+  rebuild();
+  return true;
+}
+
+std::vector<std::string> Table::expire(Time given) {
+  const Time now = forward(given);
+  std::vector<std::string> ended;
+  for (auto at = states_.begin(); at != states_.end();) {
+    if (at->second->rule.end && *at->second->rule.end <= now) {
+      slots_ -= at->second->slots.size();
+      ended.push_back(at->first);
+      at = states_.erase(at);
+    } else {
+      advance(*at->second, now);
+      ++at;
+    }
+  }
+  if (!ended.empty()) rebuild();
+  return ended;
+}
+
+void Table::share(double part) {
+  share_ = std::clamp(part, 1e-6, 1.0);
+  for (auto& [id, state] : states_) {
+    if (state->metered()) {
+      state->tokens = state->available(last_);
+      state->filled = last_;
+    }
+    state->set(share_, last_);
+  }
+}
+
+// The rules change rarely and the index is made anew then: a call only reads it.
+void Table::rebuild() {
+  numbers_ = Trie();
+  callers_ = Trie();
+  entries_.clear();
+  for (auto& [id, state] : states_) {
+    const auto entry = static_cast<Trie::Entry>(entries_.size());
+    entries_.push_back(state.get());
+    const bool any_number = std::any_of(state->rule.patterns.begin(), state->rule.patterns.end(),
+                                        [](const Pattern& each) { return each.kind == Pattern::Kind::any; });
+    if (any_number && !state->rule.callers.empty()) {
+      for (const Network& each : state->rule.callers) callers_.add_prefix(each.bits(), entry);
+    } else {
+      for (const Pattern& each : state->rule.patterns) numbers_.add(each, entry);
+    }
+  }
+}
+
+void Table::gather(Time now, const Call& call, std::vector<State*>& found) const {
+  std::vector<Trie::Entry> hits;
+  numbers_.find(call.number, hits);
+  if (callers_.nodes() > 1) callers_.find(bits_of(call.caller), hits);
+  if (hits.empty()) return;
+  std::sort(hits.begin(), hits.end());
+  hits.erase(std::unique(hits.begin(), hits.end()), hits.end());
+  for (const Trie::Entry each : hits) {
+    State* const state = entries_[each];
+    if (in_force(state->rule, now) && covers(state->rule, call)) found.push_back(state);
+  }
+  std::sort(found.begin(), found.end(),
+            [&](const State* a, const State* b) { return goes_before(a->rule, b->rule, call); });
+}
+
+// ---- Calls
+
+// Slots that nobody claimed are given up, and what callers make of slots is learnt.
+void Table::advance(State& state, Time now) {
+  while (!state.slots.empty() && *state.slots.begin() < now - bounds_.grace) {
+    state.slots.erase(state.slots.begin());
+    --slots_;
+    ++state.counts.lapsed;
+    state.kept += (0 - state.kept) * 0.02;
+  }
+  const auto forget = [](auto& map, Time before) {
+    for (auto at = map.begin(); at != map.end();) {
+      std::erase_if(at->second, [&](Time each) { return each < before; });
+      at = at->second.empty() ? map.erase(at) : std::next(at);
+    }
+  };
+  if (state.of.size() > 2 * state.slots.size() + 16) forget(state.of, now - bounds_.grace);
+  if (state.away.size() > state.away_remembered) {
+    forget(state.away, now - bounds_.grace);
+    state.away_remembered = 2 * state.away.size() + 1024;
+  }
+  if (state.turned_away.size() > state.remembered) {
+    forget(state.turned_away, now - kRefusedFor);
+    state.remembered = 2 * state.turned_away.size() + 1024;
+  }
+}
+
+bool Table::lets_pass(const State& state, Time now, const Call& call, std::uint64_t key) const {
+  if (exempts(state.rule, call)) return true;
+  switch (state.rule.control.kind) {
+    case Control::Kind::block:
+      return false;
+    case Control::Kind::percentage: {
+      const auto found = state.turned_away.find(key);
+      const bool again = call.repeat && found != state.turned_away.end() &&
+                         std::any_of(found->second.begin(), found->second.end(),
+                                     [&](Time at) { return at + kRefusedFor >= now; });
+      return !again && state.owed + state.rule.control.percentage / 100 >= 1 - kHardly;
+    }
+    case Control::Kind::interval:
+    case Control::Kind::bucket:
+      break;
+  }
+  const double available = state.available(now);
+  if (call.repeat && state.holds_due(key, now, bounds_.grace)) return available >= 1 - kHardly;
+  return available - state.due(now, bounds_.grace) >= 1 - kHardly;
+}
+
+void Table::commit(State& state, Time now, const Call& call, std::uint64_t key) {
+  ++state.counts.passed;
+  if (exempts(state.rule, call)) {
+    ++state.counts.exempt;
+    return;
+  }
+  if (state.rule.control.kind == Control::Kind::percentage) {
+    state.owed += state.rule.control.percentage / 100 - 1;
+    return;
+  }
+  if (!state.metered()) return;
+  state.tokens = state.available(now) - 1;
+  state.filled = now;
+  if (!call.repeat) return;
+  const auto found = state.of.find(key);
+  if (found == state.of.end()) return;
+  // The slot that is claimed is the oldest that is due.
+  auto& slots = found->second;
+  const auto at = std::find_if(slots.begin(), slots.end(),
+                               [&](Time each) { return each <= now && each >= now - bounds_.grace; });
+  if (at == slots.end()) return;
+  if (const auto slot = state.slots.find(*at); slot != state.slots.end()) {
+    state.slots.erase(slot);
+    --slots_;
+  }
+  slots.erase(at);
+  if (slots.empty()) state.of.erase(found);
+  ++state.counts.kept;
+  state.kept += (1 - state.kept) * 0.02;
+}
+
+Duration Table::spread(Duration longest) {
+  const Duration half = longest / 2;
+  return half + Duration(std::uniform_int_distribution<std::int64_t>(
+                    0, std::max<std::int64_t>(half.count(), 1))(random_));
+}
+
+Verdict Table::refuse(State& state, Time now, const Call& call, std::uint64_t key) {
+  Verdict verdict{false, state.rule.id, {}, false};
+  ++state.counts.refused;
+  const auto tell = [&](Duration wait) {
+    verdict.wait = std::clamp(wait, kShortestWait, bounds_.longest_wait);
+    state.waits(static_cast<double>(verdict.wait.count()) / 1000);
+    return verdict;
+  };
+  if (state.rule.control.kind == Control::Kind::percentage) {
+    auto& times = state.turned_away[key];
+    if (!call.repeat) {
+      state.owed += state.rule.control.percentage / 100;
+      times.push_back(now);
+    }
+    while (!times.empty() && times.front() + kRefusedFor < now) times.pop_front();
+    if (times.size() > 1000) times.pop_front();
+    return tell(spread(bounds_.longest_wait));
+  }
+  if (!state.metered()) {
+    const Duration until = state.rule.end ? *state.rule.end - now : bounds_.longest_wait;
+    return tell(std::min(spread(bounds_.longest_wait), std::max(until, kShortestWait)));
+  }
+  bool in_time = false;
+  if (call.repeat) {
+    // It pushes: it is told what is left, and has gained nothing.
+    if (const auto found = state.of.find(key); found != state.of.end()) {
+      const auto next =
+          std::find_if(found->second.begin(), found->second.end(), [&](Time at) { return at > now; });
+      if (next != found->second.end()) {
+        ++state.counts.early;
+        verdict.slot = true;
+        return tell(*next - now);
+      }
+      // It came in time and there was none left for it, for more slots are given than calls: it is the next one.
+      const auto due = std::find_if(found->second.begin(), found->second.end(),
+                                    [&](Time at) { return at <= now && at >= now - bounds_.grace; });
+      if (due != found->second.end()) {
+        if (const auto slot = state.slots.find(*due); slot != state.slots.end()) {
+          state.slots.erase(slot);
+          --slots_;
+        }
+        found->second.erase(due);
+        in_time = true;
+      }
+    }
+  }
+  if (call.repeat) {
+    if (const auto found = state.away.find(key); found != state.away.end()) {
+      auto& times = found->second;
+      std::erase_if(times, [&](Time at) { return at < now - bounds_.grace; });
+      if (!times.empty() && times.front() > now) {
+        ++state.counts.early;
+        return tell(times.front() - now);
+      }
+      if (!times.empty()) times.pop_front();  // it has waited: it gets the next slot there is
+      if (times.empty()) state.away.erase(found);
+    }
+  }
+  const double missing = std::max(1 - state.available(now), 0.0);
+  Time at = now + Duration(std::llround(missing * static_cast<double>(state.period.count())));
+  if (!state.slots.empty() && !in_time) {
+    // More slots than calls, by as much as lately went unclaimed.
+    const double part = std::clamp(state.kept, kLeastKept, 1.0);
+    at = std::max(
+        at, *state.slots.rbegin() + Duration(std::llround(part * static_cast<double>(state.period.count()))));
+  }
+  if (at - now > bounds_.longest_wait || slots_ >= bounds_.slots) {
+    const Verdict told = tell(spread(bounds_.longest_wait));
+    if (state.away.size() < bounds_.slots) state.away[key].push_back(now + told.wait);
+    return told;
+  }
+  state.slots.insert(at);
+  state.of[key].push_back(at);
+  ++slots_;
+  ++state.counts.slots;
+  verdict.slot = true;
+  return tell(at - now);
+}
+
+Verdict Table::offer(Time given, const Call& call) {
+  const Time now = forward(given);
+  std::vector<State*> rules;
+  gather(now, call, rules);
+  if (rules.empty()) return {};
+  const std::uint64_t key = key_of(call);
+  State* against = nullptr;
+  for (State* const each : rules) {
+    advance(*each, now);
+    ++each->counts.offered;
+    ++(call.repeat ? each->counts.repeated : each->counts.first);
+    if (!against && !lets_pass(*each, now, call, key)) against = each;
+  }
+  if (against) return refuse(*against, now, call, key);
+  for (State* const each : rules) commit(*each, now, call, key);
+  return {};
+}
+
+Verdict Table::offer_to(const std::string& id, Time given, const Call& call) {
+  const Time now = forward(given);
+  const auto found = states_.find(id);
+  if (found == states_.end()) return {};
+  State& state = *found->second;
+  if (!in_force(state.rule, now) || !covers(state.rule, call)) return {};
+  const std::uint64_t key = key_of(call);
+  advance(state, now);
+  ++state.counts.offered;
+  ++(call.repeat ? state.counts.repeated : state.counts.first);
+  if (!lets_pass(state, now, call, key)) return refuse(state, now, call, key);
+  commit(state, now, call, key);
+  return {};
+}
+
+Verdict Table::test(Time given, const Call& call, std::vector<std::string>* asked) const {
+  const Time now = std::max(given, last_);
+  std::vector<State*> rules;
+  gather(now, call, rules);
+  const std::uint64_t key = key_of(call);
+  Verdict verdict;
+  for (const State* const each : rules) {
+    if (asked) asked->push_back(each->rule.id);
+    if (verdict.pass && !lets_pass(*each, now, call, key)) verdict = {false, each->rule.id, {}, false};
+  }
+  return verdict;
+}
+
+std::vector<Rule> Table::rules() const {
+  std::vector<Rule> all;
+  for (const auto& [id, state] : states_) all.push_back(state->rule);
+  return all;
+}
+
+std::optional<Counts> Table::counts(const std::string& id) const {
+  const auto found = states_.find(id);
+  if (found == states_.end()) return std::nullopt;
+  Counts counts = found->second->counts;
+  for (const auto& bin : histogram::indexed(found->second->waits)) {
+    if (*bin > 0) counts.waits.emplace_back(bin.bin().upper(), static_cast<std::uint64_t>(*bin));
+  }
+  return counts;
+}
+
+std::uint64_t Table::revision(const std::string& id) const {
+  const auto found = revisions_.find(id);
+  return found == revisions_.end() ? 0 : found->second;
+}
+
+}  // namespace quartzarch::gap
--- /dev/null
+++ b/tests/gap_test.cpp
@@ -0,0 +1,385 @@
+// Gaps: the pattern language, the index against a scan, the controls, and callers who wait or push.
+#include <gtest/gtest.h>
+#include <rapidcheck.h>
+
+#include <cstdlib>
+
+#include "gap/sketch.hpp"
+#include "gap/table.hpp"
+
+namespace quartzarch::test {
+namespace {
+
+using gap::Address;
+using gap::Call;
+using gap::Rule;
+using gap::Table;
+using gap::Verdict;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+const Time kNine = seconds(1796202000);  // Wednesday 2026-12-02 09:00 UTC
+const Address kGateway = boost::asio::ip::make_address("10.2.0.7");
+
+Rule rule(const std::string& id, const std::string& number, const std::string& control,
+          const std::string& more = {}, int revision = 1) {
+  return gap::parse_rule("{\"id\":\"" + id + "\",\"revision\":" + std::to_string(revision) +
+                         ",\"number\":\"" + number + "\",\"control\":{" + control + "}" + more + "}");
+}
+
+Call call(std::string_view number, bool repeat = false, std::string_view call_class = "open",
+          const Address& caller = kGateway) {
+  return {number, call_class, caller, gap::Entrance::binary, repeat};
+}
+
+Table table() { return Table(Table::Bounds{}, 1); }
+
+std::string complaint(const std::string& json) {
+  try {
+    gap::parse_rule(json);
+    return {};
+  } catch (const gap::RuleError& error) {
+    return error.what();
+  }
+}
+
+// ---- The language
+
+TEST(GapPattern, IsReadAndFaultsNameTheColumn) {
+  const auto all = gap::parse_patterns("7f3a, 12*,4?6 , 1000..1999,*");
+  ASSERT_EQ(all.size(), 5u);
+  EXPECT_TRUE(all[0].matches("7f3a"));
+  EXPECT_FALSE(all[0].matches("7f3a0"));
+  EXPECT_TRUE(all[1].matches("12"));
+  EXPECT_TRUE(all[1].matches("129"));
+  EXPECT_TRUE(all[2].matches("4x6"));
+  EXPECT_FALSE(all[2].matches("46"));
+  EXPECT_TRUE(all[3].matches("1999"));
+  EXPECT_FALSE(all[3].matches("2000"));
+  EXPECT_FALSE(all[3].matches("10000"));
+  EXPECT_TRUE(all[4].matches(""));
+  for (std::size_t i = 0; i + 1 < all.size(); ++i)
+    EXPECT_EQ(gap::parse_patterns(all[i].str())[0].rank(), all[i].rank());
+  EXPECT_GT(all[0].rank(), all[3].rank());
+  EXPECT_GT(all[3].rank(), all[2].rank());
+  EXPECT_GT(all[2].rank(), all[1].rank());
+  EXPECT_GT(all[1].rank(), all[4].rank());
+  const std::pair<const char*, const char*> bad[] = {
+      {"", "column 1: a number"},     {"12*,", "column 5: a number"},      {"12 34", "column 4: a comma"},
+      {"1*2", "column 3: a comma"},   {"12..", "column 5: the upper end"}, {"20..19", "above its upper"},
+      {"1..10", "different lengths"}, {"1?*", "do not go together"},       {"12,%", "column 4: a number"}};
+  for (const auto& [text, about] : bad) {
+    try {
+      gap::parse_patterns(text);
+      ADD_FAILURE() << text << " was taken";
+    } catch (const gap::PatternError& error) {
+      EXPECT_NE(std::string(error.what()).find(about), std::string::npos) << text << ": " << error.what();
+    }
+  }
+  EXPECT_TRUE(rc::check("hostile patterns and rules", [](const std::string& text) {
+    try {
+      gap::parse_patterns(text);
+    } catch (const gap::PatternError&) {
+    }
+    complaint(text);
+    complaint("{\"id\":\"" + text + "\",\"control\":{\"block\":true}}");
+  }));
+}
+
+TEST(GapRule, SurvivesItsJsonAndFaultsNameTheKey) {
+  const std::string json =
+      R"({"id":"exam-9","revision":3,"number":"7f3*,1000..1999","class":["open"],"caller":["10.2.0.0/16","2001:db8::/32"],)"
+      R"("front":"sip","try":"first","exempt_class":["exam"],"exempt_caller":["10.2.9.9/32"],"control":{"per_s":5,"burst":10},)"
+      R"("start_s":1796202000.000000,"end_s":1796205600.000000,"weekly":["mon,wed 08:30-10:00","23:00-01:00"],"who":"ops","why":"exam"})";
+  EXPECT_EQ(gap::to_json(gap::parse_rule(json)), json);
+  const std::pair<const char*, const char*> bad[] = {
+      {"[]", "no JSON object"},
+      {R"({"id":"a"})", "\"control\" is missing"},
+      {R"({"id":"a b","control":{"block":true}})", "\"id\" may have"},
+      {R"({"id":"a","control":{}})", "\"control\" is no object"},
+      {R"({"id":"a","control":{"interval_ms":0}})", "\"control.interval_ms\" is not within"},
+      {R"({"id":"a","control":{"block":true,"per_s":1}})", "is a second control"},
+      {R"({"id":"a","control":{"block":true,"burst":2}})", "\"control.burst\" goes with"},
+      {R"({"id":"a","control":{"block":true},"number":"1**"})", "\"number\" column 3"},
+      {R"({"id":"a","control":{"block":true},"caller":["10.0.0.0/33"]})", "\"caller\" holds no network"},
+      {R"({"id":"a","control":{"block":true},"weekly":["mo 1:00-2:00"]})", "holds no day: mo"},
+      {R"({"id":"a","control":{"block":true},"start_s":5,"end_s":5})", "\"end_s\" is not after"},
+      {R"({"id":"a","control":{"block":true},"what":1})", "\"what\" is unknown"},
+      {R"({"id":"a","id":"b","control":{"block":true}})", "\"id\" is there twice"}};
+  for (const auto& [text, about] : bad)
+    EXPECT_NE(complaint(text).find(about), std::string::npos) << complaint(text);
+}
+
+// The index finds just what a scan over all patterns finds, ranges and wildcards among them.
+TEST(GapIndex, FindsWhatAScanFinds) {
+  EXPECT_TRUE(rc::check("index against scan", [] {
+    const auto digits = rc::gen::container<std::string>(rc::gen::elementOf(std::string("0123")));
+    std::vector<gap::Pattern> patterns;
+    const auto count = *rc::gen::inRange(1, 30);
+    for (int i = 0; i < count; ++i) {
+      std::string text = (*digits).substr(0, 5);
+      if (text.empty()) text = "1";
+      const auto kind = *rc::gen::inRange(0, 5);
+      if (kind == 0) text += "*";
+      if (kind == 1) text[text.size() / 2] = '?';
+      if (kind == 2) text = "*";
+      if (kind == 3) {
+        std::string other = (*digits).substr(0, text.size());
+        other.resize(text.size(), '2');
+        text = std::min(text, other) + ".." + std::max(text, other);
+      }
+      patterns.push_back(gap::parse_patterns(text)[0]);
+    }
+    gap::Trie trie;
+    for (std::size_t i = 0; i < patterns.size(); ++i) trie.add(patterns[i], static_cast<gap::Trie::Entry>(i));
+    for (int i = 0; i < 20; ++i) {
+      const std::string number = (*digits).substr(0, 6);
+      std::vector<gap::Trie::Entry> found, scanned;
+      trie.find(number, found);
+      std::sort(found.begin(), found.end());
+      found.erase(std::unique(found.begin(), found.end()), found.end());
+      for (std::size_t each = 0; each < patterns.size(); ++each) {
+        if (patterns[each].matches(number)) scanned.push_back(static_cast<gap::Trie::Entry>(each));
+      }
+      RC_ASSERT(found == scanned);
+    }
+  }));
+}
+
+// ---- Controls
+
+// Ten times what the gap lets pass: no stretch has more than its allowance, all else is refused with a wait.
+TEST(GapTable, AnIntervalHoldsUnderABurstAndWhenLiftedAllPass) {
+  Table gaps = table();
+  EXPECT_EQ(gaps.announce(rule("g", "7f3a", "\"interval_ms\":200"), kNine), Table::Taken::taken);
+  std::vector<Time> passed;
+  int refused = 0;
+  for (Time now = kNine; now < kNine + seconds(60); now += milliseconds(20)) {
+    const Verdict verdict = gaps.offer(now, call("7f3a"));
+    if (verdict.pass) {
+      passed.push_back(now);
+    } else {
+      ++refused;
+      EXPECT_EQ(verdict.rule, "g");
+      EXPECT_GT(verdict.wait, Duration{0});
+      EXPECT_LE(verdict.wait, seconds(2));
+    }
+    EXPECT_TRUE(gaps.offer(now, call("7f3b")).pass) << "another number was refused";
+  }
+  for (std::size_t i = 1; i < passed.size(); ++i) EXPECT_GE(passed[i] - passed[i - 1], milliseconds(200));
+  const auto counts = gaps.counts("g");
+  EXPECT_EQ(counts->offered, 3000u);
+  EXPECT_EQ(counts->passed, passed.size());
+  EXPECT_EQ(counts->refused, static_cast<unsigned>(refused));
+  EXPECT_EQ(counts->offered, counts->passed + counts->refused);
+  // Nobody came back, and yet more than half of the allowance was used.
+  EXPECT_GT(passed.size(), 150u);
+  EXPECT_TRUE(gaps.lift("g", 2, kNine + seconds(60)));
+  for (int i = 0; i < 10; ++i) EXPECT_TRUE(gaps.offer(kNine + seconds(60), call("7f3a")).pass);
+}
+
+// Callers that heed the wait are served in their slot; those that push at every moment are not served before.
+TEST(GapTable, WhoWaitsIsServedBeforeWhoPushesAndReturnsFillTheRoom) {
+  Table gaps = table();
+  gaps.announce(rule("g", "7f3a", "\"interval_ms\":100"), kNine);
+  struct Caller {
+    Address address{};
+    bool pushes = false, served = false;
+    Time next{};
+    int tries = 0;
+  };
+  std::vector<Caller> callers;
+  for (std::uint32_t i = 0; i < 40; ++i) {
+    callers.push_back(
+        {boost::asio::ip::address_v4(0x0a000000 + i), i % 2 == 1, false, kNine + milliseconds(i), 0});
+  }
+  std::vector<Time> patient, pushing;
+  for (Time now = kNine; now < kNine + seconds(4); now += milliseconds(1)) {
+    for (Caller& each : callers) {
+      if (each.served || now < each.next) continue;
+      const Verdict verdict = gaps.offer(now, call("7f3a", each.tries++ > 0, "open", each.address));
+      each.served = verdict.pass;
+      if (verdict.pass) (each.pushes ? pushing : patient).push_back(now);
+      each.next = now + (each.pushes ? Duration(milliseconds(20)) : verdict.wait);
+    }
+  }
+  const auto counts = gaps.counts("g");
+  EXPECT_LE(patient.size() + pushing.size(), 41u);
+  // With two seconds of slots a hundredth apart there is one for twenty; each of the patient with a slot got
+  // it.
+  EXPECT_GT(counts->kept, 15u);
+  EXPECT_LT(counts->lapsed, 8u);
+  EXPECT_GT(counts->early, 100u);
+  std::sort(patient.begin(), patient.end());
+  EXPECT_GE(patient.size() + 2, pushing.size()) << "pushing paid";
+}
+
+TEST(GapTable, OverlappingRulesMustAllAgreeAndTheMostSpecificIsNamed) {
+  Table gaps = table();
+  gaps.announce(rule("prefix", "7f*", "\"interval_ms\":100"), kNine);
+  gaps.announce(rule("exact", "7f3a", "\"interval_ms\":1000"), kNine);
+  gaps.announce(rule("tie-b", "88*", "\"block\":true"), kNine);
+  gaps.announce(rule("tie-a", "88*", "\"block\":true"), kNine);
+  EXPECT_EQ(gaps.offer(kNine, call("881")).rule, "tie-a");
+  EXPECT_TRUE(gaps.offer(kNine, call("7f3a")).pass);
+  EXPECT_EQ(gaps.offer(kNine + milliseconds(1), call("7f3a")).rule, "exact");
+  EXPECT_EQ(gaps.offer(kNine + milliseconds(1), call("7f9")).rule, "prefix")
+      << "the exact one's call did not count";
+  // What the exact rule refused has cost the prefix's allowance nothing.
+  EXPECT_TRUE(gaps.offer(kNine + seconds(3), call("7f9")).pass);
+  std::vector<std::string> asked;
+  gaps.test(kNine + seconds(3), call("7f3a"), &asked);
+  EXPECT_EQ(asked, (std::vector<std::string>{"exact", "prefix"}));
+}
+
+TEST(GapTable, ClassesCallersFrontsTriesAndExemptionsNarrowARule) {
+  Table gaps = table();
+  gaps.announce(
+      rule("a", "*", "\"block\":true",
+           R"(,"caller":["10.2.0.0/16","2001:db8::/32"],"class":["open"],"exempt_caller":["10.2.9.0/24"])"),
+      kNine);
+  const auto at = [](const char* text) { return boost::asio::ip::make_address(text); };
+  EXPECT_FALSE(gaps.offer(kNine, call("1", false, "open", at("10.2.0.1"))).pass);
+  EXPECT_FALSE(gaps.offer(kNine, call("1", false, "open", at("::ffff:10.2.0.1"))).pass);
+  EXPECT_FALSE(gaps.offer(kNine, call("1", false, "open", at("2001:db8::1"))).pass);
+  EXPECT_TRUE(gaps.offer(kNine, call("1", false, "open", at("10.3.0.1"))).pass);
+  EXPECT_TRUE(gaps.offer(kNine, call("1", false, "exam", at("10.2.0.1"))).pass);
+  EXPECT_TRUE(gaps.offer(kNine, call("1", false, "open", at("10.2.9.1"))).pass);
+  EXPECT_EQ(gaps.counts("a")->exempt, 1u);
+  gaps.announce(rule("b", "5*", "\"block\":true", R"(,"try":"repeat","front":"sip")"), kNine);
+  Call sip = call("55", true, "open", at("10.3.0.1"));
+  EXPECT_TRUE(gaps.offer(kNine, sip).pass);
+  sip.front = gap::Entrance::sip;
+  EXPECT_FALSE(gaps.offer(kNine, sip).pass);
+  sip.repeat = false;
+  EXPECT_TRUE(gaps.offer(kNine, sip).pass);
+}
+
+TEST(GapTable, APercentageIsOfFirstTriesSoThatRedialsGainNothing) {
+  Table gaps = table();
+  gaps.announce(rule("g", "7", "\"percentage\":30"), kNine);
+  int first = 0, again = 0;
+  for (std::uint32_t i = 0; i < 1000; ++i) {
+    const Address address = boost::asio::ip::address_v4(0x0a000000 + i);
+    const Time now = kNine + milliseconds(i * 10);
+    if (gaps.offer(now, call("7", false, "open", address)).pass) {
+      ++first;
+    } else {
+      again += gaps.offer(now + milliseconds(5), call("7", true, "open", address)).pass ? 1 : 0;
+    }
+  }
+  EXPECT_NEAR(first, 300, 2);
+  EXPECT_EQ(again, 0);
+}
+
+TEST(GapTable, BurstsWindowsExpiryAndAClockSetBack) {
+  Table gaps = table();
+  gaps.announce(
+      rule("g", "7", "\"per_s\":10,\"burst\":5", R"(,"weekly":["wed 08:00-09:30"],"end_s":1796203200)"),
+      kNine);
+  int passed = 0;
+  for (int i = 0; i < 20; ++i) passed += gaps.offer(kNine + seconds(10), call("7")).pass ? 1 : 0;
+  EXPECT_EQ(passed, 5);
+  // Set back an hour: nothing is saved up by it, and nothing breaks.
+  for (int i = 0; i < 20; ++i) passed += gaps.offer(kNine - seconds(3600), call("7")).pass ? 1 : 0;
+  EXPECT_EQ(passed, 5);
+  EXPECT_TRUE(gaps.expire(kNine + seconds(1000)).empty());
+  EXPECT_EQ(gaps.expire(kNine + seconds(1200)), std::vector<std::string>{"g"});
+  EXPECT_TRUE(gaps.offer(kNine + seconds(1200), call("7")).pass);
+  gaps.announce(rule("w", "8", "\"block\":true", R"(,"weekly":["wed 23:00-01:00"])"), kNine);
+  EXPECT_TRUE(gaps.offer(kNine + seconds(13 * 3600), call("8")).pass);
+  EXPECT_FALSE(gaps.offer(kNine + seconds(14 * 3600), call("8")).pass);
+  EXPECT_FALSE(gaps.offer(kNine + seconds(15 * 3600 + 1800), call("8")).pass) << "over midnight";
+  EXPECT_TRUE(gaps.offer(kNine + seconds(16 * 3600), call("8")).pass);
+}
+
+TEST(GapTable, TheSameTwiceIsOneAndOlderRevisionsNeverWin) {
+  Table gaps = table();
+  EXPECT_EQ(gaps.announce(rule("g", "7", "\"block\":true", "", 5), kNine), Table::Taken::taken);
+  EXPECT_EQ(gaps.announce(rule("g", "7", "\"block\":true", "", 5), kNine), Table::Taken::same);
+  EXPECT_EQ(gaps.announce(rule("g", "8", "\"block\":true", "", 4), kNine), Table::Taken::older);
+  EXPECT_FALSE(gaps.lift("g", 5, kNine));
+  EXPECT_FALSE(gaps.offer(kNine, call("7")).pass);
+  EXPECT_TRUE(gaps.lift("g", 6, kNine));
+  EXPECT_TRUE(gaps.offer(kNine, call("7")).pass);
+  EXPECT_EQ(gaps.announce(rule("g", "7", "\"block\":true", "", 6), kNine), Table::Taken::older)
+      << "a lifted one came back";
+  EXPECT_EQ(gaps.announce(rule("g", "7", "\"block\":true", "", 7), kNine), Table::Taken::taken);
+  EXPECT_FALSE(gaps.offer(kNine, call("7")).pass);
+}
+
+// Whatever the calls, in no second does more pass than the allowance, the saved-up burst apart; counts add
+// up.
+TEST(GapTable, NoStretchHasMoreThanItsAllowance) {
+  EXPECT_TRUE(rc::check("the bound of a bucket", [] {
+    const int rate = *rc::gen::inRange(1, 50), burst = *rc::gen::inRange(1, 10);
+    Table gaps(Table::Bounds{}, 7);
+    gaps.announce(rule("g", "7", "\"per_s\":" + std::to_string(rate) + ",\"burst\":" + std::to_string(burst)),
+                  kNine);
+    Time now = kNine;
+    std::vector<Time> passed;
+    for (int i = 0; i < 400; ++i) {
+      now += milliseconds(*rc::gen::element(0, 1, 7, 50, 333));
+      const Address caller =
+          boost::asio::ip::address_v4(0x0a000000 + static_cast<std::uint32_t>(*rc::gen::inRange(0, 20)));
+      if (gaps.offer(now, call("7", *rc::gen::arbitrary<bool>(), "open", caller)).pass) passed.push_back(now);
+    }
+    for (std::size_t i = 0; i < passed.size(); ++i) {
+      std::size_t within = 0;
+      for (std::size_t j = i; j < passed.size() && passed[j] < passed[i] + seconds(1); ++j) ++within;
+      RC_ASSERT(within <= static_cast<std::size_t>(rate + burst));
+    }
+    const auto counts = gaps.counts("g");
+    RC_ASSERT(counts->offered == counts->passed + counts->refused);
+    RC_ASSERT(counts->passed == passed.size());
+  }));
+}
+
+// A flood of distinct numbers while one is hot: the gap holds, what it remembers is bounded.
+TEST(GapTable, AFloodOfNumbersDoesNotFillItsMemory) {
+  Table::Bounds bounds;
+  bounds.slots = 50;
+  bounds.longest_wait = seconds(1000);
+  Table gaps(bounds, 1);
+  gaps.announce(rule("g", "*", "\"interval_ms\":100"), kNine);
+  for (std::uint32_t i = 0; i < 2000; ++i) {
+    const std::string number = std::to_string(i);
+    gaps.offer(kNine + milliseconds(1), call(number, i % 3 == 0, "open", boost::asio::ip::address_v4(i)));
+  }
+  EXPECT_EQ(gaps.counts("g")->slots, 50u);
+}
+
+// ---- Heavy hitters
+
+TEST(GapSketch, NamesTheHotNumberAmongAHundredThousandWithinItsBound) {
+  constexpr std::size_t kCounters = 200;
+  gap::HitterWindow window(kCounters, 6, seconds(10));
+  std::uint64_t hot = 0, all = 0;
+  for (std::uint64_t i = 0; i < 200000; ++i) {
+    const Time now = kNine + Duration(static_cast<std::int64_t>(i) * 200);
+    const bool is_hot = i % 20 == 0;
+    const std::string number = is_hot ? "7f3a" : std::to_string(i * 2654435761u % 100000);
+    window.offered(now, number);
+    if (is_hot) window.refused(now, number);
+    hot += is_hot;
+    ++all;
+  }
+  const Time end = kNine + seconds(39);
+  const auto top = window.top(end, 3);
+  ASSERT_FALSE(top.empty());
+  EXPECT_EQ(top[0].number, "7f3a");
+  EXPECT_GE(top[0].offered, hot);
+  EXPECT_LE(top[0].offered - hot, top[0].error);
+  EXPECT_LE(top[0].error, all / kCounters);
+  EXPECT_GT(top[0].refused, hot * 9 / 10);
+  EXPECT_TRUE(window.top(end + seconds(120), 3).empty()) << "the crowd is gone and still named";
+}
+
+}  // namespace
+}  // namespace quartzarch::test
+
+int main(int argc, char** argv) {
+  ::setenv("RC_PARAMS", "seed=20261201", 1);  // the same cases each time
+  ::testing::InitGoogleTest(&argc, argv);
+  return RUN_ALL_TESTS();
+}
