--- a/src/gap/table.cpp
+++ b/src/gap/table.cpp
@@ -316,7 +316,8 @@
         verdict.slot = true;
         return tell(*next - now);
       }
-      // It came in time and there was none left for it, for more slots are given than calls: it is the next one.
+      // It came in time and there was none left for it, for more slots are given than calls: it is the next
+      // one.
       const auto due = std::find_if(found->second.begin(), found->second.end(),
                                     [&](Time at) { return at <= now && at >= now - bounds_.grace; });
       if (due != found->second.end()) {
