--- a/src/gap/table.cpp
+++ b/src/gap/table.cpp
@@ -120,7 +120,7 @@
   // A rule that changes keeps its counts, and what it has promised.
   made->rule = std::move(rule);
   made->set(share_, now);
-  rebuild();
+  stale_ = true;
   return Taken::taken;
 }
 
@@ -133,7 +133,7 @@
   if (found == states_.end()) return false;
   slots_ -= found->second->slots.size();
   states_.erase(found);
-  rebuild();
+  stale_ = true;
   return true;
 }
 
@@ -150,7 +150,7 @@
       ++at;
     }
   }
-  if (!ended.empty()) rebuild();
+  if (!ended.empty()) stale_ = true;
   return ended;
 }
 
@@ -166,7 +166,8 @@
 }
 
 // The rules change rarely and the index is made anew then: a call only reads it.
-void Table::rebuild() {
+void Table::rebuild() const {
+  stale_ = false;
   numbers_ = Trie();
   callers_ = Trie();
   entries_.clear();
@@ -184,6 +185,7 @@
 }
 
 void Table::gather(Time now, const Call& call, std::vector<State*>& found) const {
+  if (stale_) rebuild();
   std::vector<Trie::Entry> hits;
   numbers_.find(call.number, hits);
   if (callers_.nodes() > 1) callers_.find(bits_of(call.caller), hits);
--- a/src/gap/table.hpp
+++ b/src/gap/table.hpp
@@ -74,7 +74,7 @@
  private:
   struct State;
 
-  void rebuild();
+  void rebuild() const;
   void gather(Time now, const Call& call, std::vector<State*>& found) const;
   bool lets_pass(const State& state, Time now, const Call& call, std::uint64_t key) const;
   void commit(State& state, Time now, const Call& call, std::uint64_t key);
@@ -90,8 +90,10 @@
   std::size_t slots_ = 0;
   std::map<std::string, std::unique_ptr<State>> states_;
   std::map<std::string, std::uint64_t> revisions_{};
-  Trie numbers_{}, callers_{};
-  std::vector<State*> entries_{};
+  // Made anew by the first call after a change: ten thousand changes in one command cost one index.
+  mutable bool stale_ = false;
+  mutable Trie numbers_{}, callers_{};
+  mutable std::vector<State*> entries_{};
 };
 
 }  // namespace quartzarch::gap
