--- a/src/cli/command_line.cpp
+++ b/src/cli/command_line.cpp
@@ -6,6 +6,9 @@
 
 #include "certificates.hpp"
 #include "cli/certs.hpp"
+#include "cli/gap.hpp"
+#include "config.hpp"
+#include "operation.hpp"
 #include "serve.hpp"
 
 namespace quartzarch::cli {
@@ -19,6 +22,7 @@
   auto* const forwarder =
       app.add_flag("--forwarder", options.forwarder, "be a forwarder: callers, no decisions");
   app.add_option("--certs", options.certs, "keep the certificates of this file (deploy/certs.toml)");
+  app.add_option("--control", options.control, "the control connection's file (deploy/control.toml)");
   planner->needs(levels)->excludes(forwarder);
   forwarder->needs(levels);
 }
@@ -28,6 +32,7 @@
   if (options.levels && !options.planner && !options.forwarder)
     return "--levels needs --planner N or --forwarder";
   if (options.planner && options.sip) return "--planner has no callers: no --sip";
+  if (options.forwarder && options.control) return "--forwarder decides nothing: no --control";
   if (options.planner && options.certs) return "--planner has no callers: no --certs";
   return {};
 }
@@ -47,6 +52,7 @@
   CLI::App* const serve_command = app.add_subcommand("serve", "serve calls (what no sub-command means too)");
   add_serve_options(*serve_command, serve_options);
   Certs certs(app);
+  Gap gap(app);
   try {
     app.parse(argc, argv);
   } catch (const CLI::ParseError& error) {
@@ -55,6 +61,7 @@
     return 2;
   }
   if (certs.asked()) return certs.run(log);
+  if (gap.asked()) return gap.run(log);
   if (const std::string wrong = contradiction(serve_options); !wrong.empty()) {
     log.line("usage: %s (quartzarch --help tells more)", wrong.c_str());
     return 2;
@@ -62,6 +69,10 @@
   serve_options.make_certificates = [](Logger& to, const std::string& path, bool tls_port) {
     return std::make_unique<Certificates>(to, path, tls_port);
   };
+  serve_options.make_operation = [](Loop& loop, Logger& to, Planner& planner, const std::string& path,
+                                    std::uint64_t seed) {
+    return std::make_unique<Operation>(loop, to, planner, parse_control(read_file(path)), seed);
+  };
   return serve(log, serve_options);
 }
 
--- /dev/null
+++ b/src/cli/gap.cpp
@@ -0,0 +1,258 @@
+#include "cli/gap.hpp"
+
+#include <simdjson.h>
+
+#include <chrono>
+#include <cstdio>
+#include <cstdlib>
+#include <thread>
+
+#include "config.hpp"
+#include "control/client.hpp"
+#include "gap/rule.hpp"
+#include "net/server_lines.hpp"
+#include "net/stream.hpp"
+
+namespace quartzarch::cli {
+namespace {
+
+constexpr std::chrono::milliseconds kPatience{5000};
+
+std::string in_json(std::string_view text) { return "\"" + json_escaped(text) + "\""; }
+
+std::string list_of(const std::vector<std::string>& values) {
+  std::string out;
+  for (const std::string& each : values) out += (out.empty() ? "" : ",") + in_json(each);
+  return "[" + out + "]";
+}
+
+std::string number_text(double value) {
+  char out[32];
+  std::snprintf(out, sizeof out, "%.10g", value);
+  return out;
+}
+
+std::string head(const char* op) { return "{\"v\":1,\"op\":\"" + std::string(op) + "\""; }
+
+std::int64_t figure(simdjson::dom::element from, const char* name) {
+  std::int64_t value = 0;
+  return from[name].get(value) == simdjson::SUCCESS ? value : 0;
+}
+
+std::string text(simdjson::dom::element from, const char* name) {
+  std::string_view value;
+  return from[name].get(value) == simdjson::SUCCESS ? std::string(value) : std::string();
+}
+
+}  // namespace
+
+Gap::Gap(CLI::App& app) : command_(app.add_subcommand("gap", "gaps on mass calls, on running instances")) {
+  command_->require_subcommand(1);
+  const char* const user = std::getenv("USER");
+  who_ = user ? user : "";
+  const auto add = [&](const char* name, const char* what) {
+    CLI::App* const command = command_->add_subcommand(name, what);
+    command->add_option("--control", instances_, "the instances' control connections")->capture_default_str();
+    command->add_flag("--json", json_, "print JSON, a line an instance");
+    return command;
+  };
+  const auto call = [&](CLI::App* command) {
+    command->add_option("--number", number_, "7f3a, 7f3*, 7?3a, 1000..1999, several with commas")
+        ->capture_default_str();
+    command->add_option("--front", front_, "binary or sip")->check(CLI::IsMember({"binary", "sip"}));
+  };
+  const auto reason = [&](CLI::App* command) {
+    command->add_option("--who", who_, "for the audit log")->capture_default_str();
+    command->add_option("--why", why_, "for the audit log");
+  };
+  add_ = add("add", "announce a gap, or change one by its id");
+  add_->add_option("ID", id_, "its name");
+  call(add_);
+  reason(add_);
+  add_->add_option("--file", file_, "rules from a file, one JSON object a line, all or none");
+  add_->add_option("--class", classes_, "classes of call");
+  add_->add_option("--caller", callers_, "networks of callers");
+  add_->add_option("--try", try_, "first or repeat")->check(CLI::IsMember({"first", "repeat"}));
+  add_->add_option("--exempt-class", exempt_classes_, "classes that it does not touch");
+  add_->add_option("--exempt-caller", exempt_callers_, "networks that it does not touch");
+  auto* const interval = add_->add_option("--interval-ms", interval_ms_, "one call every so long");
+  auto* const bucket = add_->add_option("--per-s", per_s_, "so many calls a second");
+  add_->add_option("--burst", burst_, "with --per-s: so many at once after a quiet time")->needs(bucket);
+  auto* const part = add_->add_option("--percentage", percentage_, "so many of a hundred first tries pass");
+  auto* const block = add_->add_flag("--block", block_, "none pass");
+  interval->excludes(bucket)->excludes(part)->excludes(block);
+  bucket->excludes(part)->excludes(block);
+  part->excludes(block);
+  add_->add_option("--start-s", from_s_, "begins so many seconds from now");
+  add_->add_option("--for-s", for_s_, "ends so many seconds after its beginning");
+  add_->add_option("--weekly", weekly_, "\"mon,tue 08:30-10:00\", UTC");
+  add_->add_option("--revision", revision_, "the next one if left out");
+  lift_ = add("lift", "lift a gap");
+  lift_->add_option("ID", id_, "its name")->required();
+  lift_->add_option("--revision", revision_, "of the lifting; the next one if left out");
+  reason(lift_);
+  list_ = add("list", "the gaps in force");
+  show_ = add("show", "one gap with its counts");
+  show_->add_option("ID", id_, "its name")->required();
+  watch_ = add("watch", "the counts once a second");
+  watch_->add_option("--times", times_, "so often; without end if left out");
+  suggest_ = add("suggest", "the numbers that swamp");
+  test_ = add("test", "what would happen to a call, without one");
+  call(test_);
+  test_->add_option("--class", classes_, "its class");
+  test_->add_option("--caller", caller_, "the address it comes from");
+  test_->add_flag("--repeat", repeat_, "a repeated try");
+}
+
+std::string Gap::add_line() const {
+  if (!file_.empty()) {
+    std::string rules, line;
+    std::istringstream lines(read_file(file_));
+    while (std::getline(lines, line)) {
+      if (line.find_first_not_of(" \t\r") == std::string::npos) continue;
+      rules += (rules.empty() ? "" : ",") + line;
+    }
+    return head("gap.add") + ",\"rules\":[" + rules + "]}";
+  }
+  if (id_.empty()) throw gap::RuleError("an ID or --file is needed");
+  std::string rule = "{\"id\":" + in_json(id_) + ",\"number\":" + in_json(number_);
+  if (revision_ > 0) rule += ",\"revision\":" + std::to_string(revision_);
+  if (!classes_.empty()) rule += ",\"class\":" + list_of(classes_);
+  if (!callers_.empty()) rule += ",\"caller\":" + list_of(callers_);
+  if (!front_.empty()) rule += ",\"front\":" + in_json(front_);
+  if (!try_.empty()) rule += ",\"try\":" + in_json(try_);
+  if (!exempt_classes_.empty()) rule += ",\"exempt_class\":" + list_of(exempt_classes_);
+  if (!exempt_callers_.empty()) rule += ",\"exempt_caller\":" + list_of(exempt_callers_);
+  std::string control;
+  if (interval_ms_ != 0) control = "\"interval_ms\":" + number_text(interval_ms_);
+  if (per_s_ != 0) control = "\"per_s\":" + number_text(per_s_);
+  if (burst_ != 0) control += ",\"burst\":" + number_text(burst_);
+  if (percentage_ >= 0) control = "\"percentage\":" + number_text(percentage_);
+  if (block_) control = "\"block\":true";
+  rule += ",\"control\":{" + control + "}";
+  const auto now =
+      std::chrono::duration_cast<std::chrono::seconds>(std::chrono::system_clock::now().time_since_epoch());
+  if (from_s_ > 0) rule += ",\"start_s\":" + std::to_string(now.count() + from_s_);
+  if (for_s_ > 0)
+    rule += ",\"end_s\":" + std::to_string(now.count() + std::max<std::int64_t>(from_s_, 0) + for_s_);
+  if (!weekly_.empty()) rule += ",\"weekly\":" + list_of(weekly_);
+  if (!who_.empty()) rule += ",\"who\":" + in_json(who_);
+  if (!why_.empty()) rule += ",\"why\":" + in_json(why_);
+  rule += "}";
+  gap::parse_rule(rule);  // a fault is told here, before any instance hears of it
+  return head("gap.add") + ",\"rule\":" + rule + "}";
+}
+
+std::string Gap::test_line() const {
+  return head("gap.test") + ",\"number\":" + in_json(number_) +
+         (classes_.empty() ? "" : ",\"class\":" + in_json(classes_.front())) +
+         (caller_.empty() ? "" : ",\"caller\":" + in_json(caller_)) +
+         (front_.empty() ? "" : ",\"front\":" + in_json(front_)) + (repeat_ ? ",\"repeat\":true" : "") + "}";
+}
+
+void Gap::print(const std::string& instance, const std::string& reply) const {
+  if (json_) {
+    std::printf("%s\n", reply.c_str());
+    return;
+  }
+  simdjson::dom::parser parser;
+  simdjson::dom::element root;
+  bool ok = false;
+  if (parser.parse(reply).get(root) != simdjson::SUCCESS || root["ok"].get(ok) != simdjson::SUCCESS) {
+    std::printf("%s: an answer that is not understood\n", instance.c_str());
+    return;
+  }
+  if (!ok) {
+    std::printf("%s: refused: %s\n", instance.c_str(), text(root, "error").c_str());
+    return;
+  }
+  simdjson::dom::array all;
+  if (root["gaps"].get(all) == simdjson::SUCCESS) {
+    std::printf("%s\n", instance.c_str());
+    std::printf("  %-16s %-20s %-28s %9s %9s %9s %9s %7s %7s\n", "id", "number", "lets pass", "offered",
+                "passed", "refused", "repeated", "kept", "early");
+    for (const simdjson::dom::element each : all) {
+      std::printf(
+          "  %-16s %-20s %-28s %9lld %9lld %9lld %9lld %7lld %7lld\n",
+          text(each["rule"].value(), "id").c_str(),
+          text(each["rule"].value(), "number").substr(0, 20).c_str(), text(each, "says").c_str(),
+          static_cast<long long>(figure(each, "offered")), static_cast<long long>(figure(each, "passed")),
+          static_cast<long long>(figure(each, "refused")), static_cast<long long>(figure(each, "repeated")),
+          static_cast<long long>(figure(each, "kept")), static_cast<long long>(figure(each, "early")));
+    }
+    return;
+  }
+  if (root["numbers"].get(all) == simdjson::SUCCESS) {
+    std::printf("%s: %lld calls in %lld s\n", instance.c_str(), static_cast<long long>(figure(root, "calls")),
+                static_cast<long long>(figure(root, "window_ms") / 1000));
+    for (const simdjson::dom::element each : all) {
+      std::printf("  %-24s offered %8lld (at most %lld too many)  answered %8lld  refused %8lld\n",
+                  text(each, "number").c_str(), static_cast<long long>(figure(each, "offered")),
+                  static_cast<long long>(figure(each, "error")),
+                  static_cast<long long>(figure(each, "answered")),
+                  static_cast<long long>(figure(each, "refused")));
+    }
+    return;
+  }
+  if (bool passes = false; root["passes"].get(passes) == simdjson::SUCCESS) {
+    std::printf("%s: %s%s\n", instance.c_str(), passes ? "passes" : "refused by ",
+                text(root, "refused_by").c_str());
+    return;
+  }
+  std::printf("%s: done, revision %lld\n", instance.c_str(),
+              static_cast<long long>(figure(root, "revision")));
+}
+
+int Gap::ask_all(Logger& log, const std::string& line, bool quiet) const {
+  int code = 0;
+  for (const std::string& instance : instances_) {
+    const auto address = parse_address(instance);
+    if (!address) {
+      log.line("%s is no address", instance.c_str());
+      return 2;
+    }
+    try {
+      const std::string reply = control::Client(*address, kPatience).ask(line);
+      if (!quiet) print(instance, reply);
+      if (reply.find("\"ok\":true") == std::string::npos) code = 1;
+    } catch (const std::runtime_error& error) {
+      log.line("%s: %s", instance.c_str(), error.what());
+      code = 1;
+    }
+  }
+  return code;
+}
+
+int Gap::watch(Logger& log) const {
+  int code = 0;
+  for (std::int64_t i = 0; times_ == 0 || i < times_; ++i) {
+    if (i > 0) std::this_thread::sleep_for(std::chrono::seconds(1));
+    code = ask_all(log, head("gap.list") + "}");
+    std::fflush(stdout);
+  }
+  return code;
+}
+
+int Gap::run(Logger& log) const {
+  try {
+    if (add_->parsed()) return ask_all(log, add_line());
+    if (lift_->parsed()) {
+      return ask_all(log, head("gap.lift") + ",\"id\":" + in_json(id_) +
+                              (revision_ > 0 ? ",\"revision\":" + std::to_string(revision_) : "") +
+                              ",\"who\":" + in_json(who_) + ",\"why\":" + in_json(why_) + "}");
+    }
+    if (list_->parsed()) return ask_all(log, head("gap.list") + "}");
+    if (show_->parsed()) return ask_all(log, head("gap.list") + ",\"id\":" + in_json(id_) + "}");
+    if (suggest_->parsed()) return ask_all(log, head("gap.suggest") + "}");
+    if (test_->parsed()) return ask_all(log, test_line());
+    return watch(log);
+  } catch (const gap::RuleError& error) {
+    log.line("gap: %s", error.what());
+    return 2;
+  } catch (const ConfigError& error) {
+    log.line("gap: %s: %s", file_.c_str(), error.what());
+    return 2;
+  }
+}
+
+}  // namespace quartzarch::cli
--- /dev/null
+++ b/src/cli/gap.hpp
@@ -0,0 +1,37 @@
+// `quartzarch gap ...`: gaps on mass calls, announced to running instances.
+#pragma once
+
+#include <CLI/CLI.hpp>
+#include <string>
+#include <vector>
+
+#include "log.hpp"
+
+namespace quartzarch::cli {
+
+class Gap {
+ public:
+  explicit Gap(CLI::App& app);
+
+  bool asked() const { return command_->parsed(); }
+  // Exit codes: 0 done, 1 refused or not reached by one of the instances, 2 a command that cannot be taken.
+  int run(Logger& log) const;
+
+ private:
+  std::string add_line() const;
+  std::string test_line() const;
+  int watch(Logger& log) const;
+  int ask_all(Logger& log, const std::string& line, bool quiet = false) const;
+  void print(const std::string& instance, const std::string& reply) const;
+
+  CLI::App* command_;
+  CLI::App *add_, *lift_, *list_, *show_, *watch_, *suggest_, *test_;
+  std::vector<std::string> instances_{"127.0.0.1:7200"};
+  std::string id_{}, number_ = "*", front_{}, try_{}, who_{}, why_{}, file_{}, caller_{};
+  std::vector<std::string> classes_{}, callers_{}, exempt_classes_{}, exempt_callers_{}, weekly_{};
+  double interval_ms_ = 0, per_s_ = 0, burst_ = 0, percentage_ = -1;
+  std::int64_t revision_ = 0, for_s_ = 0, from_s_ = 0, times_ = 0;
+  bool block_ = false, json_ = false, repeat_ = false;
+};
+
+}  // namespace quartzarch::cli
--- /dev/null
+++ b/src/control/server.cpp
@@ -0,0 +1,94 @@
+#include "control/server.hpp"
+
+#include <algorithm>
+
+#include "net/server_lines.hpp"
+
+namespace quartzarch::control {
+namespace {
+
+constexpr std::size_t kMostConnections = 8;
+constexpr std::size_t kLongestOutput = 16 * 1024 * 1024;
+
+std::string failure(std::string_view what) {
+  return "{\"v\":" + std::to_string(kVersion) + ",\"ok\":false,\"error\":\"" + json_escaped(what) + "\"}\n";
+}
+
+}  // namespace
+
+Server::Server(Loop& loop, Logger& log, const sockaddr_in& listen)
+    : loop_(loop), log_(log), acceptor_(loop, listen_on(listen)) {
+  loop_.watch(*this, Rank::callers);
+}
+
+Server::~Server() {
+  loop_.forget(*this);
+  for (auto& [raw, stream] : streams_) stream->close();
+}
+
+void Server::ready(short) {
+  Fd fd = acceptor_.next();
+  if (!fd) return;
+  if (streams_.size() >= kMostConnections) {
+    // The one that has been quiet for longest goes: it may be a client that does not read.
+    const auto oldest = std::min_element(streams_.begin(), streams_.end(), [](const auto& a, const auto& b) {
+      return a.second->last_used() < b.second->last_used();
+    });
+    oldest->second->close();
+    loop_.bury(oldest->second);
+    streams_.erase(oldest);
+  }
+  auto stream =
+      std::make_shared<Stream>(loop_, std::move(fd), static_cast<Stream::Owner&>(*this), Rank::callers);
+  stream->limit_output(kLongestOutput);
+  streams_[stream.get()] = std::move(stream);
+}
+
+void Server::lost(Stream& stream, Lost) {
+  const auto found = streams_.find(&stream);
+  if (found == streams_.end()) return;
+  loop_.bury(found->second);
+  streams_.erase(found);
+}
+
+void Server::arrived(Stream& stream) {
+  while (stream.alive()) {
+    const std::string_view input = stream.input();
+    const auto end = input.find('\n');
+    if (end == std::string_view::npos) {
+      if (input.size() <= kLongestLine) return;
+      log_.line("control: an endless line, connection closed");
+      stream.send({failure("the line is too long"), {}, 0});
+      stream.close();
+      return lost(stream, Lost::closed);
+    }
+    std::string reply = answer(input.substr(0, end));
+    stream.consume(end + 1);
+    stream.send({std::move(reply), {}, 0});
+  }
+}
+
+std::string Server::answer(std::string_view line) {
+  simdjson::dom::parser parser;
+  simdjson::dom::element request;
+  if (parser.parse(line.data(), line.size()).get(request) != simdjson::SUCCESS || !request.is_object()) {
+    return failure("no JSON object");
+  }
+  std::int64_t version = 0;
+  if (request["v"].get(version) != simdjson::SUCCESS) return failure("\"v\" is missing");
+  if (version != kVersion) {
+    return failure("version " + std::to_string(version) + " is not spoken here, only " +
+                   std::to_string(kVersion));
+  }
+  std::string_view op;
+  if (request["op"].get(op) != simdjson::SUCCESS) return failure("\"op\" is missing");
+  const auto handler = handlers_.find(std::string(op));
+  if (handler == handlers_.end()) return failure("there is no command " + std::string(op));
+  try {
+    return "{\"v\":" + std::to_string(kVersion) + ",\"ok\":true" + handler->second(request) + "}\n";
+  } catch (const std::exception& error) {
+    return failure(error.what());
+  }
+}
+
+}  // namespace quartzarch::control
--- /dev/null
+++ b/src/control/server.hpp
@@ -0,0 +1,59 @@
+// The control connection: operators' commands to a running instance, on loopback. JSON lines, one request and
+// one answer each, in order:
+//
+//     {"v":1,"op":"gap.add", ...}
+//     {"v":1,"ok":true, ...}   or   {"v":1,"ok":false,"error":"..."}
+//
+// Whatever a client sends or leaves unread costs the calls nothing: lines, connections and output are
+// bounded.
+#pragma once
+
+#include <simdjson.h>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+#include "log.hpp"
+#include "net/stream.hpp"
+
+namespace quartzarch::control {
+
+inline constexpr int kVersion = 1;
+inline constexpr std::size_t kLongestLine = 8 * 1024 * 1024;  // ten thousand rules in one command
+
+// What a command cannot be done for, in one line.
+struct Refused : std::runtime_error {
+  using std::runtime_error::runtime_error;
+};
+
+class Server : private Watched, private Stream::Owner {
+ public:
+  // The members of the answer after "ok", each with a comma before it, as in `,"id":"x"`. Throws Refused.
+  using Handler = std::function<std::string(simdjson::dom::element request)>;
+
+  // Throws std::system_error if the address cannot be listened on.
+  Server(Loop& loop, Logger& log, const sockaddr_in& listen);
+  ~Server() override;
+
+  void on(const std::string& op, Handler handler) { handlers_[op] = std::move(handler); }
+  sockaddr_in address() const { return bound_address(acceptor_.fd()); }
+  std::size_t connections() const { return streams_.size(); }
+
+ private:
+  int descriptor() const override { return acceptor_.fd().get(); }
+  short interest() const override { return acceptor_.resting() ? 0 : POLLIN; }
+  void ready(short) override;
+  void arrived(Stream& stream) override;
+  void lost(Stream& stream, Lost) override;
+  std::string answer(std::string_view line);
+
+  Loop& loop_;
+  Logger& log_;
+  Acceptor acceptor_;
+  std::map<Stream*, std::shared_ptr<Stream>> streams_{};
+  std::map<std::string, Handler> handlers_{};
+};
+
+}  // namespace quartzarch::control
--- /dev/null
+++ b/src/control/writer.cpp
@@ -0,0 +1,55 @@
+#include "control/writer.hpp"
+
+#include <exception>
+#include <utility>
+
+namespace quartzarch::control {
+namespace {
+
+constexpr std::size_t kMostWaiting = 10000;
+
+}  // namespace
+
+Writer::Writer(std::function<void(const std::string&)> complain)
+    : complain_(std::move(complain)), thread_([this](const std::stop_token& stop) { work(stop); }) {}
+
+Writer::~Writer() {
+  thread_.request_stop();
+  woken_.notify_all();
+  thread_.join();
+}
+
+bool Writer::run(std::function<void()> write) {
+  {
+    const std::lock_guard lock(mutex_);
+    if (tasks_.size() >= kMostWaiting) return false;
+    tasks_.push_back(std::move(write));
+  }
+  woken_.notify_one();
+  return true;
+}
+
+std::size_t Writer::waiting() const {
+  const std::lock_guard lock(mutex_);
+  return tasks_.size();
+}
+
+void Writer::work(const std::stop_token& stop) {
+  for (;;) {
+    std::function<void()> task;
+    {
+      std::unique_lock lock(mutex_);
+      woken_.wait(lock, stop, [this] { return !tasks_.empty(); });
+      if (tasks_.empty()) return;  // told to stop, and all is written
+      task = std::move(tasks_.front());
+      tasks_.pop_front();
+    }
+    try {
+      task();
+    } catch (const std::exception& error) {
+      complain_(error.what());
+    }
+  }
+}
+
+}  // namespace quartzarch::control
--- a/src/core/calls.hpp
+++ b/src/core/calls.hpp
@@ -20,11 +20,16 @@
 inline constexpr int kTimer = 102;
 }  // namespace cause
 
+// By which front a call came.
+enum class Way : std::uint8_t { binary, sip };
+
 struct Request {
   CallId call = 0;
-  std::string call_class{};            // its name in the settings
-  std::string number{};                // the number called, as the caller wrote it
-  std::string description{};           // passed on unchanged
+  Way way = Way::binary;
+  std::uint32_t caller = 0;   // IPv4 address of the connection's other end, in host order; 0: unknown
+  std::string call_class{};   // its name in the settings
+  std::string number{};       // the number called, as the caller wrote it
+  std::string description{};  // passed on unchanged
   std::optional<Duration> patience{};  // from when the caller sent it; absent: the class's deadline
   Time came{};
   int first_choice = -1;
@@ -46,6 +51,17 @@
   virtual void over(CallId call, int cause) = 0;
 };
 
+// What stands before the decisions and may turn a call away: gaps that were announced, for one.
+class Gate {
+ public:
+  virtual ~Gate() = default;
+  // Nothing: it may go on. Else for how long the caller is to stay away.
+  virtual std::optional<Duration> turns_away(const Request& request, Time now) = 0;
+  // What became of one that went on.
+  virtual void answered(const Request& request, Time now) = 0;
+  virtual void refused(const Request& request, Time now) = 0;
+};
+
 // What fronts ask for.
 class Core {
  public:
--- a/src/core/planner.cpp
+++ b/src/core/planner.cpp
@@ -104,6 +104,9 @@
     log_.line("call %s: nothing a setup server can read, failed", call_text(call).c_str());
     return front.fail(call, Failure::error);
   }
+  if (gate_) {
+    if (const auto away = gate_->turns_away(request, loop_.now())) return front.refuse(call, *away);
+  }
   CallArrived event;
   event.call = call;
   event.call_class = static_cast<unsigned>(name - names.begin());
@@ -122,6 +125,28 @@
   deliver(event);
 }
 
+void Planner::reconsider(const std::function<std::optional<Duration>(const Request&)>& turns_away) {
+  std::vector<CallId> held;
+  for (const auto& [call, exchange] : calls_) {
+    if (exchange.owed() && !exchange.attempt) held.push_back(call);
+  }
+  // In the order in which they came, whatever the table's.
+  std::sort(held.begin(), held.end(), [this](CallId a, CallId b) {
+    const Time first = find(a)->request().came, second = find(b)->request().came;
+    return first != second ? first < second : a < b;
+  });
+  for (const CallId call : held) {
+    Exchange* const exchange = find(call);
+    if (!exchange || !exchange->owed() || exchange->attempt) continue;
+    const auto away = turns_away(exchange->request());
+    if (!away) continue;
+    settle(*exchange);
+    exchange->refuse(*away);
+    deliver(CallWithdrawn{call});
+    if (Exchange* const left = find(call); left && !left->attempt) erase(call);
+  }
+}
+
 void Planner::withdraw(CallId call) {
   Exchange* const exchange = find(call);
   if (!exchange || !exchange->owed()) return;
@@ -166,6 +191,7 @@
   const Exchange::Attempt attempt = *exchange->attempt;
   settle(*exchange);
   const CallId call = line.call;
+  if (gate_) gate_->answered(exchange->request(), loop_.now());
   exchange->answer(std::move(line.description));
   deliver(SetupStood{call, attempt.number, server, loop_.now() - attempt.sent});
   if (!line.load.empty()) told(server, parse_load(line.load));
@@ -324,6 +350,7 @@
   Exchange* const exchange = find(action.call);
   if (!exchange || !exchange->owed()) return;
   settle(*exchange);
+  if (gate_) gate_->refused(exchange->request(), loop_.now());
   exchange->refuse(action.stay_away);
   if (!exchange->attempt) erase(action.call);
 }
--- a/src/core/planner.hpp
+++ b/src/core/planner.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <deque>
+#include <functional>
 #include <unordered_map>
 #include <unordered_set>
 #include <vector>
@@ -29,6 +30,10 @@
   void limit(Bounds bounds) { bounds_ = bounds; }
 
   void news(const FleetNews& news);
+  // Asked for every call before anything is decided about it; it must outlive this, or null.
+  void guard(Gate* gate) { gate_ = gate; }
+  // Asks for every call that is held, no attempt of it out, and refuses what is turned away now.
+  void reconsider(const std::function<std::optional<Duration>(const Request&)>& turns_away);
   // Hears of calls that were answered before this process started and are over now.
   void strays_to(Front& front) { strays_ = &front; }
 
@@ -91,6 +96,7 @@
   std::unordered_set<CallId> past_;               // calls that are over, so that nothing is told twice
   std::deque<CallId> past_order_;
   Front* strays_ = nullptr;
+  Gate* gate_ = nullptr;
 };
 
 }  // namespace quartzarch
--- a/src/front/binary.cpp
+++ b/src/front/binary.cpp
@@ -194,7 +194,8 @@
   // One is there for certain; at the limit room is made for that one only.
   if (connections_.size() >= most_connections_ && !make_room()) return;
   while (connections_.size() < most_connections_) {
-    Fd fd = acceptor_.next();
+    sockaddr_in peer{};
+    Fd fd = acceptor_.next(&peer);
     if (!fd) {
       if (!acceptor_.resting()) return;
       log_.line("caller: no descriptor left, connections have to wait");
@@ -203,6 +204,7 @@
     }
     Connection connection;
     connection.came = loop_.now();
+    connection.peer = ntohl(peer.sin_addr.s_addr);
     connection.stream =
         std::make_shared<Stream>(loop_, std::move(fd), static_cast<Stream::Owner&>(*this), Rank::callers);
     Stream& stream = *connection.stream;
@@ -349,6 +351,7 @@
 bool BinaryFront::take_setup(Connection& from, CallId call, std::string_view parameters) {
   Request request;
   request.call = call;
+  request.caller = from.peer;
   request.came = loop_.now();
   bool sound = true;
   std::string_view value;
--- a/src/front/binary.hpp
+++ b/src/front/binary.hpp
@@ -37,6 +37,7 @@
     std::shared_ptr<Stream> stream{};
     std::set<CallId> open{};  // set-ups without an answer
     Time came{};
+    std::uint32_t peer = 0;  // IPv4 address, in host order
     Standing standing = Standing::silent;
     std::optional<Time> cut_short{};  // since when a message has been waiting for its rest
 
--- a/src/front/sip/transactions.cpp
+++ b/src/front/sip/transactions.cpp
@@ -55,6 +55,7 @@
   const auto vias = message.values("Via");
   const auto top = *parse_via(vias.front());
   request.reply_to = reply_hop(top, vias.front(), from);
+  request.source = from.address;
   request.vias = "Via: " + completed_via(vias.front(), top, from) + "\r\n";
   for (std::size_t i = 1; i < vias.size(); ++i) request.vias += "Via: " + std::string(vias[i]) + "\r\n";
   request.from = message.header("From");
--- a/src/front/sip/transactions.hpp
+++ b/src/front/sip/transactions.hpp
@@ -26,7 +26,8 @@
   std::string vias{};  // as header lines, the topmost completed with received and rport
   std::string from{}, to{}, call_id{}, cseq{}, record_routes{};
   unsigned long cseq_number = 0;
-  Hop reply_to{};  // 18.2.2
+  Hop reply_to{};        // 18.2.2
+  sockaddr_in source{};  // where it came from, whatever its Via says
 };
 
 class ServerTransaction {
--- /dev/null
+++ b/src/gap/gate.cpp
@@ -0,0 +1,28 @@
+#include "gap/gate.hpp"
+
+namespace quartzarch::gap {
+namespace {
+
+Call call_of(const Request& request) {
+  return {request.number, request.call_class, boost::asio::ip::address_v4(request.caller),
+          request.way == Way::sip ? Entrance::sip : Entrance::binary, request.redialled};
+}
+
+}  // namespace
+
+std::optional<Duration> GapGate::turns_away(const Request& request, Time now) {
+  hitters_.offered(now, request.number);
+  const Verdict verdict = table_.offer(now, call_of(request));
+  if (verdict.pass) return std::nullopt;
+  hitters_.refused(now, request.number);
+  return verdict.wait;
+}
+
+std::optional<Duration> GapGate::turned_away_by(const std::string& id, const Request& request, Time now) {
+  const Verdict verdict = table_.offer_to(id, now, call_of(request));
+  if (verdict.pass) return std::nullopt;
+  hitters_.refused(now, request.number);
+  return verdict.wait;
+}
+
+}  // namespace quartzarch::gap
--- a/src/link/message.cpp
+++ b/src/link/message.cpp
@@ -49,15 +49,15 @@
   // The link takes no time worth counting, but a stopped planner does: the patience is what is left by now.
   const long long patience = request.patience ? (*request.patience - (now - request.came)).count() : -1;
   const CallId call = request.call;
-  return encode(
-      Type::request, call,
-      {request.call_class, request.number, text(patience), text(now.count()), text(request.first_choice),
-       text(request.advised), text(request.redialled), text(request.cut)},
-      std::move(request.description));
+  return encode(Type::request, call,
+                {request.call_class, request.number, text(patience), text(now.count()),
+                 text(request.first_choice), text(request.advised), text(request.redialled),
+                 text(request.cut), text(static_cast<int>(request.way)), text(request.caller)},
+                std::move(request.description));
 }
 
 std::optional<Request> decode_request(const LinkMessage& message, Time now) {
-  if (message.values.size() < 8) return std::nullopt;
+  if (message.values.size() < 10) return std::nullopt;
   Request request;
   request.call = message.call;
   request.call_class = message.text(0);
@@ -68,7 +68,9 @@
   request.advised = static_cast<int>(message.number(5));
   request.redialled = message.number(6) != 0;
   request.cut = message.number(7) != 0;
-  request.description = message.text(8);
+  request.way = message.number(8) != 0 ? Way::sip : Way::binary;
+  request.caller = static_cast<std::uint32_t>(message.number(9));
+  request.description = message.text(10);
   return request;
 }
 
--- /dev/null
+++ b/src/operation.cpp
@@ -0,0 +1,323 @@
+#include "operation.hpp"
+
+#include <fcntl.h>
+#include <sys/stat.h>
+#include <toml++/toml.h>
+
+#include <cerrno>
+#include <cstring>
+#include <set>
+#include <sstream>
+
+#include "config.hpp"
+#include "net/server_lines.hpp"
+
+namespace quartzarch {
+namespace {
+
+constexpr const char* kRules = "gaps.rules";
+constexpr const char* kAudit = "audit.log";
+constexpr Duration kSweep = std::chrono::milliseconds(500);
+constexpr std::size_t kMostNamed = 20;
+
+std::string in_json(std::string_view text) { return "\"" + json_escaped(text) + "\""; }
+
+std::string text_of(simdjson::dom::element from, const char* key) {
+  std::string_view value;
+  return from[key].get(value) == simdjson::SUCCESS ? std::string(value) : std::string();
+}
+
+std::string wanted(simdjson::dom::element from, const char* key) {
+  std::string value = text_of(from, key);
+  if (value.empty()) throw control::Refused("\"" + std::string(key) + "\" is missing");
+  return value;
+}
+
+std::string ms(Duration duration) { return std::to_string(duration / std::chrono::milliseconds(1)); }
+
+// Appended and synced; the file is the owner's alone.
+void append(const std::string& path, const std::string& line) {
+  const Fd fd(
+      ::open(path.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC | O_NOFOLLOW, S_IRUSR | S_IWUSR));
+  if (!fd || ::write(fd.get(), line.data(), line.size()) != static_cast<ssize_t>(line.size()) ||
+      ::fdatasync(fd.get()) != 0) {
+    throw std::runtime_error(path + ": " + std::strerror(errno));
+  }
+}
+
+}  // namespace
+
+ControlSettings parse_control(std::string_view text) {
+  ControlSettings settings;
+  try {
+    const toml::table table = toml::parse(text);
+    const auto fail = [&](const toml::node& at, const std::string& key, const std::string& what) {
+      throw ConfigError("line " + std::to_string(at.source().begin.line) + ": \"" + key + "\" " + what);
+    };
+    const auto number = [&](const toml::node& node, const std::string& key, std::int64_t least,
+                            std::int64_t most) {
+      const auto value = node.value_exact<std::int64_t>();
+      if (!value || *value < least || *value > most) {
+        fail(node, key,
+             "is no whole number within " + std::to_string(least) + " and " + std::to_string(most));
+      }
+      return *value;
+    };
+    std::set<std::string> seen;
+    for (const auto& [name, node] : table) {
+      const std::string key(name.str());
+      seen.insert(key);
+      if (key == "listen") {
+        const auto address = parse_address(node.value_or(std::string()));
+        if (!address || ntohl(address->sin_addr.s_addr) >> 24 != 127)
+          fail(node, key, "is no loopback address");
+        settings.listen = *address;
+      } else if (key == "directory") {
+        settings.directory = node.value_or(std::string());
+        if (settings.directory.empty()) fail(node, key, "is no text");
+      } else if (key == "longest_wait_ms") {
+        settings.gaps.longest_wait = std::chrono::milliseconds(number(node, key, 1, 3600000));
+      } else if (key == "grace_ms") {
+        settings.gaps.grace = std::chrono::milliseconds(number(node, key, 1, 60000));
+      } else if (key == "slots") {
+        settings.gaps.slots = static_cast<std::size_t>(number(node, key, 0, 10000000));
+      } else if (key == "counters") {
+        settings.sketch.counters = static_cast<std::size_t>(number(node, key, 1, 100000));
+      } else if (key == "pane_s") {
+        settings.sketch.pane = std::chrono::seconds(number(node, key, 1, 3600));
+      } else {
+        fail(node, key, "is unknown");
+      }
+    }
+    for (const char* const key : {"listen", "directory"}) {
+      if (seen.count(key) == 0) fail(table, key, "is missing");
+    }
+  } catch (const toml::parse_error& error) {
+    throw ConfigError("line " + std::to_string(error.source().begin.line) +
+                      ": no TOML: " + std::string(error.description()));
+  }
+  return settings;
+}
+
+Operation::Operation(Loop& loop, Logger& log, Planner& planner, const ControlSettings& settings,
+                     std::uint64_t seed)
+    : loop_(loop),
+      log_(log),
+      planner_(planner),
+      state_(settings.directory, [&log](const std::string& line) { log.line("control: %s", line.c_str()); }),
+      gate_(settings.gaps, settings.sketch, seed),
+      writer_([&log](const std::string& line) { log.line("control: not written: %s", line.c_str()); }),
+      control_(loop, log, settings.listen) {
+  restore();
+  planner_.guard(&gate_);
+  control_.on("gap.add", [this](Element request) { return add(request); });
+  control_.on("gap.lift", [this](Element request) { return lift(request); });
+  control_.on("gap.list", [this](Element request) { return list(request); });
+  control_.on("gap.test", [this](Element request) { return test(request); });
+  control_.on("gap.suggest", [this](Element request) { return suggest(request); });
+  sweep();
+  log_.line("control: at %s, %zu gaps in force", address_text(control_.address()).c_str(),
+            gate_.table().size());
+}
+
+Operation::~Operation() {
+  loop_.cancel(sweep_timer_);
+  planner_.guard(nullptr);
+}
+
+void Operation::sweep() {
+  for (const std::string& id : gate_.table().expire(loop_.now())) {
+    log_.line("gap %s: has ended", id.c_str());
+    audit("ended", id, gate_.table().revision(id), "", "its end");
+    lifted_[id] = gate_.table().revision(id);
+    keep();
+  }
+  sweep_timer_ = loop_.at(loop_.now() + kSweep, [this] { sweep(); });
+}
+
+void Operation::restore() {
+  const auto text = state_.read(kRules);
+  if (!text) return;
+  std::istringstream lines(*text);
+  for (std::string line; std::getline(lines, line);) {
+    simdjson::dom::parser parser;
+    simdjson::dom::element root;
+    std::uint64_t revision = 0;
+    if (parser.parse(line).get(root) == simdjson::SUCCESS &&
+        root["lifted"].get(revision) == simdjson::SUCCESS) {
+      const std::string id = text_of(root, "id");
+      lifted_[id] = revision;
+      gate_.table().lift(id, revision, loop_.now());
+      continue;
+    }
+    try {
+      gate_.table().announce(gap::parse_rule(line), loop_.now());
+    } catch (const gap::RuleError& error) {
+      log_.line("control: a kept gap is not taken: %s", error.what());
+    }
+  }
+}
+
+void Operation::keep() {
+  std::string text;
+  for (const gap::Rule& each : gate_.table().rules()) text += gap::to_json(each) + "\n";
+  for (const auto& [id, revision] : lifted_) {
+    text += "{\"id\":" + in_json(id) + ",\"lifted\":" + std::to_string(revision) + "}\n";
+  }
+  if (!writer_.run([this, text = std::move(text)] { state_.write(kRules, text); })) {
+    log_.line("control: the disk is too slow, the rules in force are not kept");
+  }
+}
+
+void Operation::audit(const std::string& what, const std::string& id, std::uint64_t revision,
+                      const std::string& who, const std::string& why) {
+  std::string line = "{\"at_s\":" + std::to_string(loop_.now() / std::chrono::seconds(1)) +
+                     ",\"what\":" + in_json(what) + ",\"id\":" + in_json(id) +
+                     ",\"revision\":" + std::to_string(revision) + ",\"who\":" + in_json(who) +
+                     ",\"why\":" + in_json(why) + "}\n";
+  if (!writer_.run([path = state_.path_of(kAudit), line = std::move(line)] { append(path, line); })) {
+    log_.line("control: the disk is too slow, a change is not in the audit log");
+  }
+}
+
+// One rule, or a list of them: all are sound or none is taken.
+std::string Operation::add(Element request) {
+  std::vector<gap::Rule> rules;
+  simdjson::dom::array list;
+  if (request["rules"].get(list) == simdjson::SUCCESS) {
+    std::size_t at = 0;
+    for (const Element each : list) {
+      try {
+        rules.push_back(gap::parse_rule(simdjson::minify(each)));
+      } catch (const gap::RuleError& error) {
+        throw control::Refused("rule " + std::to_string(at) + ": " + error.what());
+      }
+      ++at;
+    }
+  } else {
+    Element rule;
+    if (request["rule"].get(rule) != simdjson::SUCCESS) throw control::Refused("\"rule\" is missing");
+    rules.push_back(gap::parse_rule(simdjson::minify(rule)));
+  }
+  const Time now = loop_.now();
+  std::size_t taken = 0, same = 0, older = 0;
+  std::uint64_t last_revision = 0;
+  std::vector<std::string> fresh;
+  for (gap::Rule& rule : rules) {
+    // Without a revision it is the next one of its id.
+    if (rule.revision == 0) rule.revision = gate_.table().revision(rule.id) + 1;
+    const std::string id = rule.id, who = rule.who, why = rule.why, control = rule.control.str(),
+                      number = rule.number;
+    const std::uint64_t revision = last_revision = rule.revision;
+    switch (gate_.table().announce(std::move(rule), now)) {
+      case gap::Table::Taken::taken:
+        ++taken;
+        fresh.push_back(id);
+        lifted_.erase(id);
+        audit("announced", id, revision, who, why);
+        if (rules.size() <= 10) {
+          log_.line("gap %s: announced by %s: %s to %s", id.c_str(), who.c_str(), control.c_str(),
+                    number.c_str());
+        }
+        break;
+      case gap::Table::Taken::same:
+        ++same;
+        break;
+      case gap::Table::Taken::older:
+        ++older;
+        break;
+      case gap::Table::Taken::full:
+        throw control::Refused("there are too many rules");
+    }
+  }
+  if (taken > 0) keep();
+  if (rules.size() > 10) log_.line("gaps: %zu announced", taken);
+  // What waits falls under them too.
+  planner_.reconsider([&](const Request& held) {
+    std::optional<Duration> away;
+    for (const std::string& id : fresh) {
+      if (!away) away = gate_.turned_away_by(id, held, now);
+    }
+    return away;
+  });
+  return ",\"taken\":" + std::to_string(taken) + ",\"same\":" + std::to_string(same) +
+         ",\"older\":" + std::to_string(older) +
+         (rules.size() == 1 ? ",\"revision\":" + std::to_string(last_revision) : "");
+}
+
+std::string Operation::lift(Element request) {
+  const std::string id = wanted(request, "id"), who = text_of(request, "who"), why = text_of(request, "why");
+  std::uint64_t revision = 0;
+  if (request["revision"].get(revision) != simdjson::SUCCESS) revision = gate_.table().revision(id) + 1;
+  const bool lifted = gate_.table().lift(id, revision, loop_.now());
+  if (lifted) {
+    lifted_[id] = revision;
+    keep();
+    audit("lifted", id, revision, who, why);
+    log_.line("gap %s: lifted by %s", id.c_str(), who.c_str());
+  }
+  return std::string(",\"lifted\":") + (lifted ? "true" : "false") +
+         ",\"revision\":" + std::to_string(gate_.table().revision(id));
+}
+
+std::string Operation::list(Element request) {
+  const std::string only = text_of(request, "id");
+  std::string all;
+  for (const gap::Rule& rule : gate_.table().rules()) {
+    if (!only.empty() && rule.id != only) continue;
+    const auto counts = gate_.table().counts(rule.id);
+    std::string waits;
+    for (const auto& [upper, count] : counts->waits) {
+      char bin[64];
+      std::snprintf(bin, sizeof bin, "%s[%.4g,%llu]", waits.empty() ? "" : ",", upper,
+                    static_cast<unsigned long long>(count));
+      waits += bin;
+    }
+    const auto figure = [](const char* name, std::uint64_t value) {
+      return ",\"" + std::string(name) + "\":" + std::to_string(value);
+    };
+    all += (all.empty() ? "" : ",") + std::string("{\"rule\":") + gap::to_json(rule) +
+           ",\"says\":" + in_json(rule.control.str()) +
+           ",\"in_force\":" + (gap::in_force(rule, loop_.now()) ? "true" : "false") +
+           figure("offered", counts->offered) + figure("passed", counts->passed) +
+           figure("refused", counts->refused) + figure("first", counts->first) +
+           figure("repeated", counts->repeated) + figure("exempt", counts->exempt) +
+           figure("slots", counts->slots) + figure("kept", counts->kept) + figure("lapsed", counts->lapsed) +
+           figure("early", counts->early) + ",\"waits_ms\":[" + waits + "]}";
+  }
+  return ",\"gaps\":[" + all + "]";
+}
+
+std::string Operation::test(Element request) {
+  const std::string number = wanted(request, "number"), call_class = text_of(request, "class");
+  const std::string caller = text_of(request, "caller").empty() ? "0.0.0.0" : text_of(request, "caller");
+  boost::system::error_code error;
+  const gap::Address address = boost::asio::ip::make_address(caller, error);
+  if (error) throw control::Refused("\"caller\" is no address");
+  bool repeat = false;
+  if (request["repeat"].get(repeat) != simdjson::SUCCESS) repeat = false;
+  const gap::Entrance front = text_of(request, "front") == "sip" ? gap::Entrance::sip : gap::Entrance::binary;
+  std::vector<std::string> asked;
+  const gap::Verdict verdict =
+      gate_.table().test(loop_.now(), {number, call_class, address, front, repeat}, &asked);
+  std::string rules;
+  for (const std::string& each : asked) rules += (rules.empty() ? "" : ",") + in_json(each);
+  return std::string(",\"passes\":") + (verdict.pass ? "true" : "false") +
+         ",\"refused_by\":" + in_json(verdict.rule) + ",\"asked\":[" + rules + "]";
+}
+
+std::string Operation::suggest(Element) {
+  gap::HitterWindow& hitters = gate_.hitters();
+  const std::uint64_t total = hitters.total(loop_.now());
+  std::string all;
+  for (const gap::Hitter& each : hitters.top(loop_.now(), kMostNamed)) {
+    all += (all.empty() ? "" : ",") + std::string("{\"number\":") + in_json(each.number) +
+           ",\"offered\":" + std::to_string(each.offered) + ",\"error\":" + std::to_string(each.error) +
+           ",\"answered\":" + std::to_string(each.answered) + ",\"refused\":" + std::to_string(each.refused) +
+           "}";
+  }
+  return ",\"window_ms\":" + ms(hitters.window()) + ",\"calls\":" + std::to_string(total) + ",\"numbers\":[" +
+         all + "]";
+}
+
+}  // namespace quartzarch
--- a/src/serve.cpp
+++ b/src/serve.cpp
@@ -166,9 +166,17 @@
   std::optional<sip::SipFront> sip_{};
 };
 
-void serve_alone(Loop& loop, Logger& log, Service& service, const Config& config,
-                 const std::optional<sip::FrontConfig>& sip) {
+std::unique_ptr<Extension> attach(Loop& loop, Logger& log, Planner& planner, Files& files,
+                                  const Config& config, const ServeOptions& options) {
+  if (!options.control) return nullptr;
+  files.reading = options.control->c_str();
+  return options.make_operation(loop, log, planner, *options.control, config.seed);
+}
+
+void serve_alone(Loop& loop, Logger& log, Files& files, Service& service, const Config& config,
+                 const ServeOptions& options, const std::optional<sip::FrontConfig>& sip) {
   Planner planner(loop, log, config.start, config.seed, bounds_of(config.limits));
+  const auto operation = attach(loop, log, planner, files, config, options);
   for (const FleetNews& news : config.known) planner.news(news);
   Fronts fronts(loop, log, planner, config, sip);
   planner.strays_to(fronts.strays());
@@ -185,12 +193,14 @@
 }
 
 // One of several planners: each is an instance of its own among those of all call controllers.
-void serve_as_planner(Loop& loop, Logger& log, Service& service, Config config,
-                      const std::vector<sockaddr_in>& planners, std::size_t index) {
+void serve_as_planner(Loop& loop, Logger& log, Files& files, Service& service, Config config,
+                      const ServeOptions& options, const std::vector<sockaddr_in>& planners) {
+  const std::size_t index = *options.planner;
   Settings& settings = config.start.settings;
   settings.rank = settings.rank * static_cast<unsigned>(planners.size()) + static_cast<unsigned>(index);
   settings.instances *= static_cast<unsigned>(planners.size());
   Planner planner(loop, log, config.start, config.seed + index, bounds_of(config.limits));
+  const auto operation = attach(loop, log, planner, files, config, options);
   for (const FleetNews& news : config.known) planner.news(news);
   link::Port port(loop, log, planner, planners[index]);
   planner.strays_to(port);
@@ -241,11 +251,11 @@
     if (sip) sip->listening.certificates = certificates->registry();
   }
   if (options.planner) {
-    serve_as_planner(loop, log, service, config, planners, *options.planner);
+    serve_as_planner(loop, log, files, service, config, options, planners);
   } else if (options.forwarder) {
     serve_as_forwarder(loop, log, service, config, sip, planners);
   } else {
-    serve_alone(loop, log, service, config, sip);
+    serve_alone(loop, log, files, service, config, options, sip);
   }
   log.line("stopped");
 }
--- a/src/serve.hpp
+++ b/src/serve.hpp
@@ -26,15 +26,29 @@
   virtual void stop() = 0;
 };
 
+class Loop;
+class Planner;
+
+// What else a process that decides has beside its fronts; lives as long as it serves, on its loop.
+class Extension {
+ public:
+  virtual ~Extension() = default;
+};
+
 struct ServeOptions {
-  std::optional<std::string> sip{};     // the SIP front's file
-  std::optional<std::string> levels{};  // the planners' addresses
-  std::optional<std::string> certs{};   // the certificates that the program keeps itself
+  std::optional<std::string> sip{};      // the SIP front's file
+  std::optional<std::string> levels{};   // the planners' addresses
+  std::optional<std::string> certs{};    // the certificates that the program keeps itself
+  std::optional<std::string> control{};  // the control connection and the gaps
   std::optional<std::size_t> planner{};
   bool forwarder = false;
   // Throws ConfigError if the file is bad. `tls_port`: whether the process has one.
   std::function<std::unique_ptr<KeptCertificates>(Logger& log, const std::string& path, bool tls_port)>
       make_certificates{};
+  // Reads its file and attaches what operators need; before any call comes. Throws ConfigError.
+  std::function<std::unique_ptr<Extension>(Loop&, Logger&, Planner&, const std::string& path,
+                                           std::uint64_t seed)>
+      make_operation{};
 };
 
 // Serves until it is told to stop. The exit code: 0, 2 after a bad configuration (one line said so), 1
--- a/tests/gap_test.cpp
+++ b/tests/gap_test.cpp
@@ -4,8 +4,12 @@
 
 #include <cstdlib>
 
+#include "front/sip/front.hpp"
 #include "gap/sketch.hpp"
 #include "gap/table.hpp"
+#include "loopback.hpp"
+#include "operation.hpp"
+#include "process.hpp"
 
 namespace quartzarch::test {
 namespace {
@@ -375,6 +379,200 @@
   EXPECT_TRUE(window.top(end + seconds(120), 3).empty()) << "the crowd is gone and still named";
 }
 
+// ---- In the core, over the control connection
+
+class GapCore : public Program {
+ protected:
+  GapCore() {
+    std::string pattern = (std::filesystem::temp_directory_path() / "gap-XXXXXX").string();
+    directory = ::mkdtemp(pattern.data());
+    sip::FrontConfig config;
+    config.listening.udp = config.listening.tcp = any_port();
+    config.default_class = "voice";
+    sip_front = std::make_unique<sip::SipFront>(loop, log, *planner, config, 7);
+    operate();
+    open_server();
+  }
+  ~GapCore() override { std::filesystem::remove_all(directory); }
+  void operate() {
+    operation.reset();
+    ControlSettings settings;
+    settings.listen = any_port();
+    settings.directory = directory + "/control";
+    operation = std::make_unique<Operation>(loop, log, *planner, settings, 1);
+    operator_ = Peer::connect(operation->address());
+  }
+  // A command and its answer.
+  std::string ask(const std::string& command) {
+    operator_.say(command + "\n");
+    std::string reply;
+    until([&] { return operator_.heard().find('\n') != std::string::npos; }, command.c_str());
+    return operator_.take();
+  }
+  std::string add(const std::string& rest) {
+    return ask("{\"v\":1,\"op\":\"gap.add\",\"rule\":{\"id\":\"g\"," + rest + "}}");
+  }
+  std::string invite(const Peer& peer, const char* transport, const std::string& id) {
+    return "INVITE sip:7f3a9c21e0b4d655@lab SIP/2.0\r\nVia: SIP/2.0/" + std::string(transport) + " " +
+           peer.address() + ";branch=z9hG4bK" + id +
+           "\r\nMax-Forwards: 70\r\nFrom: <sip:gw@lab>;tag=g\r\nTo: <sip:7f@lab>\r\nCall-ID: " + id +
+           "\r\nCSeq: 1 INVITE\r\nContact: <sip:gw@" + peer.address() +
+           ">\r\nX-First-Choice: 0\r\nContent-Type: application/sdp\r\nContent-Length: 5\r\n\r\nv=0\r\n";
+  }
+
+  std::string directory;
+  std::unique_ptr<sip::SipFront> sip_front;
+  std::unique_ptr<Operation> operation;
+  Peer operator_;
+};
+
+// The same gap by every way in: refused at once and when to come back, no server hears of it; lifted, all
+// stand.
+TEST_F(GapCore, EveryFrontIsToldTheSameAndALiftedGapLetsAllPass) {
+  EXPECT_NE(add(R"("number":"7f3a*","control":{"block":true})").find("\"ok\":true,\"taken\":1"),
+            std::string::npos);
+  Peer gateway = caller(), udp = Peer::udp(sip_front->address(sip::TransportKind::udp)),
+       tcp = Peer::connect(sip_front->address(sip::TransportKind::tcp));
+  gateway.say(setup(0xaa, "d"));
+  udp.say(invite(udp, "UDP", "u1"));
+  tcp.say(invite(tcp, "TCP", "t1"));
+  hears(udp, "SIP/2.0 503");
+  hears(tcp, "SIP/2.0 503");
+  hears(udp, "Retry-After: ");
+  hears(tcp, "Retry-After: ");
+  until([&] { return gateway.heard().size() >= 20; }, "the refusal");
+  const std::string told = gateway.take();
+  EXPECT_EQ(told[2], 12) << "no release";
+  EXPECT_NE(told.find(std::string("\xd0\x00\x01", 3) + static_cast<char>(42)), std::string::npos);
+  EXPECT_NE(told.find(std::string("\xc0\x00\x04", 3)), std::string::npos) << "no wait of four digits";
+  EXPECT_EQ(server.heard().find("offer"), std::string::npos);
+  EXPECT_NE(ask(R"({"v":1,"op":"gap.list"})").find("\"offered\":3,\"passed\":0,\"refused\":3"),
+            std::string::npos);
+  EXPECT_NE(ask(R"({"v":1,"op":"gap.suggest"})").find("\"number\":\"7f3a9c21e0b4d655\",\"offered\":3"),
+            std::string::npos);
+  EXPECT_NE(ask(R"({"v":1,"op":"gap.test","number":"7f3a"})").find("\"refused_by\":\"g\""),
+            std::string::npos);
+  EXPECT_NE(ask(R"({"v":1,"op":"gap.lift","id":"g","who":"ops"})").find("\"lifted\":true"),
+            std::string::npos);
+  gateway.say(setup(0xbb, "d"));
+  hears(server, "00000000000000bb");
+}
+
+// A call that waits for a server falls under a gap announced meanwhile; one whose attempt is out does not.
+TEST_F(GapCore, HeldCallsFallUnderAGapAnnouncedWhileTheyWait) {
+  Peer gateway = caller();
+  gateway.say(setup(0xaa, "d"));
+  hears(server, "00000000000000aa");
+  planner->news({2, true, {host(listener, 0, Availability::draining)}});
+  gateway.say(setup(0xbb, "d"));
+  settle();
+  EXPECT_EQ(gateway.heard(), "") << "it is not held: this test shows nothing";
+  EXPECT_NE(add(R"("number":"7f*","control":{"block":true})").find("\"taken\":1"), std::string::npos);
+  until([&] { return !gateway.heard().empty(); }, "the refusal");
+  EXPECT_EQ(count(gateway.heard(), std::string(7, '\0') + '\xbb'), 1u);
+  EXPECT_EQ(count(gateway.heard(), std::string(7, '\0') + '\xaa'), 0u);
+  server.say(line("accept", "00000000000000aa", "\"desc\":\"s\""));
+  hears(gateway, binary(9, 0xaa, {{210, "s"}}));
+  EXPECT_EQ(planner->owed(), 0u);
+}
+
+TEST_F(GapCore, HostileControlInputIsAnsweredOrClosedAndCallsGoOn) {
+  const std::pair<const char*, const char*> bad[] = {
+      {"what", "no JSON object"},
+      {"[]", "no JSON object"},
+      {R"({"op":"gap.list"})", "\\\"v\\\" is missing"},
+      {R"({"v":2,"op":"gap.list"})", "version 2 is not spoken here"},
+      {R"({"v":1,"op":"gap.what"})", "there is no command"},
+      {R"({"v":1,"op":"gap.add"})", "is missing"},
+      {R"({"v":1,"op":"gap.add","rule":{"id":"x","number":"1**","control":{"block":true}}})", "column 3"},
+      {R"({"v":1,"op":"gap.add","rules":[{"id":"x","control":{"block":true}},{"id":"y"}]})", "rule 1: "},
+      {R"({"v":1,"op":"gap.test","number":"1","caller":"nowhere"})", "is no address"}};
+  for (const auto& [command, about] : bad) {
+    const std::string reply = ask(command);
+    EXPECT_NE(reply.find("\"ok\":false"), std::string::npos) << command;
+    EXPECT_NE(reply.find(about), std::string::npos) << reply;
+  }
+  EXPECT_EQ(operation->gate().table().size(), 0u) << "half a list was taken";
+  // Ten thousand rules in one command; half a line; a client that asks on and reads nothing.
+  std::string rules;
+  for (int i = 0; i < 10000; ++i) {
+    rules += (i == 0 ? "" : ",") + std::string("{\"id\":\"r") + std::to_string(i) + "\",\"number\":\"" +
+             std::to_string(1000000 + i) + "\",\"control\":{\"interval_ms\":200}}";
+  }
+  EXPECT_NE(ask("{\"v\":1,\"op\":\"gap.add\",\"rules\":[" + rules + "]}").find("\"taken\":10000"),
+            std::string::npos);
+  Peer half = Peer::connect(operation->address()), deaf = Peer::connect(operation->address());
+  half.say("{\"v\":1,\"op\":\"gap.li");
+  for (int i = 0; i < 40; ++i) {
+    deaf.say("{\"v\":1,\"op\":\"gap.list\"}\n");
+    loop.pass(milliseconds(1));
+  }
+  settle();
+  Peer gateway = caller();
+  gateway.say(setup(0xaa, "d"));
+  hears(server, "00000000000000aa");
+  half.say("ft\",\"id\":\"r1\"}\n");
+  hears(half, "\"lifted\":true");
+}
+
+// A new instance takes up what was in force, and what was lifted stays lifted, before it takes calls.
+TEST_F(GapCore, TheRulesInForceSurviveARestartAndChangesAreInTheAuditLog) {
+  add(R"("number":"7*","control":{"block":true},"who":"ana","why":"exam at nine")");
+  ask(R"({"v":1,"op":"gap.add","rule":{"id":"h","revision":5,"number":"8*","control":{"per_s":5,"burst":2}}})");
+  ask(R"({"v":1,"op":"gap.lift","id":"h","who":"ben"})");
+  operate();
+  EXPECT_EQ(operation->gate().table().size(), 1u);
+  EXPECT_FALSE(operation->gate().table().test(loop.now(), call("7")).pass);
+  EXPECT_NE(
+      ask(R"({"v":1,"op":"gap.add","rule":{"id":"h","revision":6,"number":"8*","control":{"block":true}}})")
+          .find("\"older\":1"),
+      std::string::npos);
+  const std::string audit = read_file(directory + "/control/audit.log");
+  EXPECT_NE(
+      audit.find(
+          "\"what\":\"announced\",\"id\":\"g\",\"revision\":1,\"who\":\"ana\",\"why\":\"exam at nine\""),
+      std::string::npos);
+  EXPECT_NE(audit.find("\"what\":\"lifted\",\"id\":\"h\",\"revision\":6,\"who\":\"ben\""), std::string::npos);
+}
+
+TEST_F(Process, TheGapCommandsSpeakToARunningInstance) {
+  const sockaddr_in control = free_address();
+  acme::replace_file(directory + "/control.toml", "listen = \"" + address_text(control) +
+                                                      "\"\ndirectory = \"" + directory + "/control\"\n");
+  start(config(), {"--control", directory + "/control.toml"});
+  Peer server;
+  until([&] { return static_cast<bool>(server = listener.accept()); }, "its connection");
+  serves();
+  const auto command = [&](std::vector<std::string> words, int wanted) {
+    words.insert(words.begin(), "gap");
+    words.insert(words.end(), {"--control", address_text(control)});
+    EXPECT_EQ(exit_code_of(spawn(words, "output")), wanted) << read_file(directory + "/output");
+    return read_file(directory + "/output");
+  };
+  command({"add", "nine", "--number", "7f3*", "--interval-ms", "60000", "--why", "exam", "--who", "ana"}, 0);
+  Peer gateway = Peer::connect(address);
+  gateway.say(setup(0xaa, "d"));
+  hears(server, "00000000000000aa");
+  gateway.say(setup(0xbb, "d"));
+  hears(gateway, std::string(7, '\0') + '\xbb');
+  EXPECT_NE(command({"list"}, 0).find("one every 60000 ms"), std::string::npos);
+  EXPECT_NE(command({"test", "--number", "7f3b"}, 0).find("refused by nine"), std::string::npos);
+  EXPECT_NE(command({"suggest"}, 0).find("7f3a9c21e0b4d655"), std::string::npos);
+  EXPECT_NE(command({"add", "x", "--number", "1**", "--block"}, 2).find("column 3"), std::string::npos);
+  EXPECT_NE(command({"watch", "--times", "1"}, 0).find("nine"), std::string::npos);
+  command({"lift", "nine"}, 0);
+  gateway.say(setup(0xcc, "d"));
+  hears(server, "00000000000000cc");
+  ::kill(pid, SIGKILL);
+  exit_code();
+  EXPECT_NE(command({"list"}, 1).find("nobody answers"), std::string::npos);
+  acme::replace_file(directory + "/control.toml", "listen = \"10.0.0.1:1\"\n");
+  start(config(), {"--control", directory + "/control.toml"});
+  EXPECT_EQ(exit_code(), 2);
+  EXPECT_NE(log().find("control.toml: line 1: \"listen\" is no loopback address"), std::string::npos)
+      << log();
+}
+
 }  // namespace
 }  // namespace quartzarch::test
 
