Tell an owner of no loss while it closes a connection itself

Cause: Stream::close() writes what it can, and a peer that had gone made that write a loss, told to an owner that was going through its connections and erased one under its own loop. SIP, the link and the control connection all close so.

Change: a close of the owner's own tells nothing, as the header always said. A test ends the control connection with answers that nobody reads.

--- a/src/net/stream.cpp
+++ b/src/net/stream.cpp
@@ -81,6 +81,7 @@
 }
 
 void Stream::close() {
+  closing_ = true;
   if (state_ == State::up) flush();
   if (state_ != State::dead) die();
 }
@@ -160,6 +161,7 @@
     if (sent < 0) {
       if (errno == EINTR) continue;
       if (errno == EAGAIN || errno == EWOULDBLOCK) break;
+      if (closing_) return die();
       // What the peer had sent before it broke off is still to be read; the read tells of the end.
       return queued_ > longest_output_ ? fail(Lost::reset) : read();
     }
@@ -179,7 +181,8 @@
 void Stream::fail(Lost how) {
   if (state_ == State::dead) return;
   die();
-  owner_.lost(*this, how);
+  // A close of the owner's own is no loss: it may be going through its connections.
+  if (!closing_) owner_.lost(*this, how);
 }
 
 Fd Acceptor::next(sockaddr_in* peer) {
--- a/src/net/stream.hpp
+++ b/src/net/stream.hpp
@@ -84,6 +84,7 @@
   std::size_t longest_output_ = 1024 * 1024;
   bool flush_due_ = false;
   bool came_up_ = false;
+  bool closing_ = false;  // by the owner, who hears nothing more
   std::optional<Loop::TimerId> connect_timer_;
   Time last_used_{};
   Time last_written_{};
--- a/tests/gap_test.cpp
+++ b/tests/gap_test.cpp
@@ -515,6 +515,27 @@
   hears(half, "\"lifted\":true");
 }
 
+// It ends while answers wait for clients that have gone: closing them is no loss of theirs to be told of.
+TEST_F(GapCore, EndingWithAnswersThatNobodyReadsHarmsNothing) {
+  std::string rules;
+  for (int i = 0; i < 3000; ++i) {
+    rules += (i == 0 ? "" : ",") + std::string("{\"id\":\"r") + std::to_string(i) +
+             "\",\"control\":{\"block\":true}}";
+  }
+  ask("{\"v\":1,\"op\":\"gap.add\",\"rules\":[" + rules + "]}");
+  std::vector<Peer> gone;
+  for (int i = 0; i < 4; ++i) gone.push_back(Peer::connect(operation->address()));
+  for (Peer& each : gone) {
+    for (int i = 0; i < 12; ++i) each.say("{\"v\":1,\"op\":\"gap.list\"}\n");
+  }
+  settle(60);
+  for (Peer& each : gone) each.reset();
+  operation.reset();
+  Peer gateway = caller();
+  gateway.say(setup(0xaa, "d"));
+  hears(server, "00000000000000aa");
+}
+
 // A new instance takes up what was in force, and what was lifted stays lifted, before it takes calls.
 TEST_F(GapCore, TheRulesInForceSurviveARestartAndChangesAreInTheAuditLog) {
   add(R"("number":"7*","control":{"block":true},"who":"ana","why":"exam at nine")");
