End the control connection in its test before its folder goes

Its writer was still at work there, and the folder could not be removed: an abort in one of several runs.

--- a/tests/gap_test.cpp
+++ b/tests/gap_test.cpp
@@ -393,7 +393,10 @@
     operate();
     open_server();
   }
-  ~GapCore() override { std::filesystem::remove_all(directory); }
+  ~GapCore() override {
+    operation.reset();  // its writer still has files to write there
+    std::filesystem::remove_all(directory);
+  }
   void operate() {
     operation.reset();
     ControlSettings settings;
