--- a/src/acme/flow.cpp
+++ b/src/acme/flow.cpp
@@ -27,11 +27,6 @@
          sorted(record.names) == sorted(names) && record.key_type == key_type;
 }
 
-std::optional<Step> first_step(const OrderRecord& record) {
-  if (record.url.empty()) return Step::search;
-  return std::nullopt;
-}
-
 Step next_step(const OrderRecord& record, const OrderView& view, Instant now, Seconds patience) {
   switch (view.status) {
     case OrderStatus::valid:
--- a/src/acme/flow.hpp
+++ b/src/acme/flow.hpp
@@ -36,7 +36,6 @@
 };
 
 enum class Step {
-  search,     // a request may have been taken whose answer was lost: look it up
   authorize,  // answer the authorizations that are not valid
   finalize,
   look_again,  // the authority is at work
@@ -48,8 +47,6 @@
 bool fits(const OrderRecord& record, const std::vector<std::string>& names, const std::string& key_type,
           const std::vector<std::string>& directories);
 
-// The step when nothing is known but the record: `search`, or nothing if the order is to be looked at.
-std::optional<Step> first_step(const OrderRecord& record);
 // The step after a look at the order. One in processing for over `patience` since it was made is given up.
 Step next_step(const OrderRecord& record, const OrderView& view, Instant now, Seconds patience);
 
--- a/src/acme/json.hpp
+++ b/src/acme/json.hpp
@@ -7,12 +7,10 @@
 #include <string_view>
 #include <vector>
 
-#include "net/server_lines.hpp"
+#include "json_text.hpp"
 
 namespace quartzarch::acme {
 
-inline std::string in_quotes(std::string_view value) { return "\"" + json_escaped(value) + "\""; }
-
 inline std::string in_brackets(const std::vector<std::string>& values) {
   std::string all;
   for (const std::string& each : values) all += (all.empty() ? "" : ",") + in_quotes(each);
--- a/src/acme/keeper.cpp
+++ b/src/acme/keeper.cpp
@@ -653,7 +653,6 @@
         break;
       case Step::fetch:
         return fetch(managed, *record, *session, key, reply.view);
-      case Step::search:
       case Step::abandon:
         drop_order(managed, *record);
         // What was left of an earlier attempt has come to nothing meanwhile: this one has not begun yet.
--- a/src/gap/rule.cpp
+++ b/src/gap/rule.cpp
@@ -9,7 +9,7 @@
 #include <set>
 #include <tuple>
 
-#include "net/server_lines.hpp"
+#include "json_text.hpp"
 
 namespace quartzarch::gap {
 namespace {
@@ -148,12 +148,10 @@
   return made;
 }
 
-std::string in_json(std::string_view value) { return "\"" + json_escaped(value) + "\""; }
-
 template <typename List, typename To>
 std::string listed(const List& list, To to) {
   std::string out;
-  for (const auto& each : list) out += (out.empty() ? "" : ",") + in_json(to(each));
+  for (const auto& each : list) out += (out.empty() ? "" : ",") + in_quotes(to(each));
   return "[" + out + "]";
 }
 
@@ -282,12 +280,12 @@
 std::string to_json(const Rule& rule) {
   const auto same = [](const std::string& each) { return each; };
   const auto name = [](const Network& each) { return each.str(); };
-  std::string out = "{\"id\":" + in_json(rule.id) + ",\"revision\":" + std::to_string(rule.revision) +
-                    ",\"number\":" + in_json(rule.number);
+  std::string out = "{\"id\":" + in_quotes(rule.id) + ",\"revision\":" + std::to_string(rule.revision) +
+                    ",\"number\":" + in_quotes(rule.number);
   if (!rule.classes.empty()) out += ",\"class\":" + listed(rule.classes, same);
   if (!rule.callers.empty()) out += ",\"caller\":" + listed(rule.callers, name);
-  if (rule.front) out += ",\"front\":" + in_json(name_of(*rule.front));
-  if (rule.tries != Try::any) out += ",\"try\":" + in_json(name_of(rule.tries));
+  if (rule.front) out += ",\"front\":" + in_quotes(name_of(*rule.front));
+  if (rule.tries != Try::any) out += ",\"try\":" + in_quotes(name_of(rule.tries));
   if (!rule.exempt_classes.empty()) out += ",\"exempt_class\":" + listed(rule.exempt_classes, same);
   if (!rule.exempt_callers.empty()) out += ",\"exempt_caller\":" + listed(rule.exempt_callers, name);
   out += ",\"control\":{";
@@ -315,8 +313,8 @@
   if (rule.end) out += ",\"end_s\":" + seconds(*rule.end);
   if (!rule.weekly.empty())
     out += ",\"weekly\":" + listed(rule.weekly, [](const Weekly& each) { return str(each); });
-  if (!rule.who.empty()) out += ",\"who\":" + in_json(rule.who);
-  if (!rule.why.empty()) out += ",\"why\":" + in_json(rule.why);
+  if (!rule.who.empty()) out += ",\"who\":" + in_quotes(rule.who);
+  if (!rule.why.empty()) out += ",\"why\":" + in_quotes(rule.why);
   return out + "}";
 }
 
--- /dev/null
+++ b/src/json_text.hpp
@@ -0,0 +1,13 @@
+// Texts as JSON has them.
+#pragma once
+
+#include <string>
+#include <string_view>
+
+#include "net/server_lines.hpp"
+
+namespace quartzarch {
+
+inline std::string in_quotes(std::string_view value) { return "\"" + json_escaped(value) + "\""; }
+
+}  // namespace quartzarch
--- a/src/operation.cpp
+++ b/src/operation.cpp
@@ -10,7 +10,7 @@
 #include <sstream>
 
 #include "config.hpp"
-#include "net/server_lines.hpp"
+#include "json_text.hpp"
 
 namespace quartzarch {
 namespace {
@@ -20,8 +20,6 @@
 constexpr Duration kSweep = std::chrono::milliseconds(500);
 constexpr std::size_t kMostNamed = 20;
 
-std::string in_json(std::string_view text) { return "\"" + json_escaped(text) + "\""; }
-
 std::string text_of(simdjson::dom::element from, const char* key) {
   std::string_view value;
   return from[key].get(value) == simdjson::SUCCESS ? std::string(value) : std::string();
@@ -162,7 +160,7 @@
   std::string text;
   for (const gap::Rule& each : gate_.table().rules()) text += gap::to_json(each) + "\n";
   for (const auto& [id, revision] : lifted_) {
-    text += "{\"id\":" + in_json(id) + ",\"lifted\":" + std::to_string(revision) + "}\n";
+    text += "{\"id\":" + in_quotes(id) + ",\"lifted\":" + std::to_string(revision) + "}\n";
   }
   if (!writer_.run([this, text = std::move(text)] { state_.write(kRules, text); })) {
     log_.line("control: the disk is too slow, the rules in force are not kept");
@@ -172,9 +170,9 @@
 void Operation::audit(const std::string& what, const std::string& id, std::uint64_t revision,
                       const std::string& who, const std::string& why) {
   std::string line = "{\"at_s\":" + std::to_string(loop_.now() / std::chrono::seconds(1)) +
-                     ",\"what\":" + in_json(what) + ",\"id\":" + in_json(id) +
-                     ",\"revision\":" + std::to_string(revision) + ",\"who\":" + in_json(who) +
-                     ",\"why\":" + in_json(why) + "}\n";
+                     ",\"what\":" + in_quotes(what) + ",\"id\":" + in_quotes(id) +
+                     ",\"revision\":" + std::to_string(revision) + ",\"who\":" + in_quotes(who) +
+                     ",\"why\":" + in_quotes(why) + "}\n";
   if (!writer_.run([path = state_.path_of(kAudit), line = std::move(line)] { append(path, line); })) {
     log_.line("control: the disk is too slow, a change is not in the audit log");
   }
@@ -277,7 +275,7 @@
       return ",\"" + std::string(name) + "\":" + std::to_string(value);
     };
     all += (all.empty() ? "" : ",") + std::string("{\"rule\":") + gap::to_json(rule) +
-           ",\"says\":" + in_json(rule.control.str()) +
+           ",\"says\":" + in_quotes(rule.control.str()) +
            ",\"in_force\":" + (gap::in_force(rule, loop_.now()) ? "true" : "false") +
            figure("offered", counts->offered) + figure("passed", counts->passed) +
            figure("refused", counts->refused) + figure("first", counts->first) +
@@ -301,9 +299,9 @@
   const gap::Verdict verdict =
       gate_.table().test(loop_.now(), {number, call_class, address, front, repeat}, &asked);
   std::string rules;
-  for (const std::string& each : asked) rules += (rules.empty() ? "" : ",") + in_json(each);
+  for (const std::string& each : asked) rules += (rules.empty() ? "" : ",") + in_quotes(each);
   return std::string(",\"passes\":") + (verdict.pass ? "true" : "false") +
-         ",\"refused_by\":" + in_json(verdict.rule) + ",\"asked\":[" + rules + "]";
+         ",\"refused_by\":" + in_quotes(verdict.rule) + ",\"asked\":[" + rules + "]";
 }
 
 std::string Operation::suggest(Element) {
@@ -311,7 +309,7 @@
   const std::uint64_t total = hitters.total(loop_.now());
   std::string all;
   for (const gap::Hitter& each : hitters.top(loop_.now(), kMostNamed)) {
-    all += (all.empty() ? "" : ",") + std::string("{\"number\":") + in_json(each.number) +
+    all += (all.empty() ? "" : ",") + std::string("{\"number\":") + in_quotes(each.number) +
            ",\"offered\":" + std::to_string(each.offered) + ",\"error\":" + std::to_string(each.error) +
            ",\"answered\":" + std::to_string(each.answered) + ",\"refused\":" + std::to_string(each.refused) +
            "}";
--- a/standin/authority/model.cpp
+++ b/standin/authority/model.cpp
@@ -14,7 +14,6 @@
 
 using acme::base64url;
 using acme::in_brackets;
-using acme::in_quotes;
 using acme::text_in;
 using acme::texts_in;
 
