Open a second address for operators: readyz, metrics, drain and activate

Design: Boost.Beast's HTTP/1.1 parser fed from the program's own poll loop, ranked before callers and servers, one call a connection, 32 places, closed after 1 s unfinished, 8 KiB a request. The figures are counted in the planner where each final answer is given (src/core/tally.hpp); the drain is a state without I/O or clock (src/core/drain.hpp): readyz 503, quiet connections closed after 0.3 s, empty ones after 1.5 s except those that carry standing calls, new requests refused from 2.5 s.

--- a/src/config.cpp
+++ b/src/config.cpp
@@ -103,6 +103,8 @@
     config.listen = address(wanted<std::string_view>(root, "listen"), "listen");
     config.coordinator = address(wanted<std::string_view>(root, "coordinator"), "coordinator");
     config.seed = seed_of(root);
+    const auto management = value(root, "management", std::string_view());
+    if (!management.empty()) config.management = address(management, "management");
     element limits;
     if (root.at_key("limits").get(limits) == simdjson::SUCCESS) {
       const auto limit = [&](std::string_view name, double fallback, double least) {
--- a/src/config.hpp
+++ b/src/config.hpp
@@ -4,6 +4,7 @@
 #include <netinet/in.h>
 
 #include <algorithm>
+#include <optional>
 #include <stdexcept>
 #include <string>
 #include <vector>
@@ -39,6 +40,7 @@
   std::string name;
   sockaddr_in listen{};
   sockaddr_in coordinator{};
+  std::optional<sockaddr_in> management{};  // the second address, for operators: "management"
   std::uint64_t seed = 0;
   Limits limits;
   std::uint64_t known_index = 0;
--- /dev/null
+++ b/src/core/drain.hpp
@@ -0,0 +1,57 @@
+// Whether this call controller takes new work: drained by an operator or stopping, it says no when asked if
+// it is ready, serves what is open and empties the connections of callers. Time is passed in; no I/O.
+#pragma once
+
+#include <optional>
+
+#include "quartzarch/controller.hpp"
+
+namespace quartzarch {
+
+class Drain {
+ public:
+  // POST /v1/call-controller/drain; a second one changes nothing.
+  void drain(Time now) {
+    if (!since_) since_ = now;
+  }
+  // POST /v1/call-controller/activate: ready again as soon as the list of servers is known.
+  void activate() { since_.reset(); }
+  // SIGTERM: not ready for good; connections go as the stop has them go.
+  void stop() { stopping_ = true; }
+
+  bool draining() const { return since_.has_value(); }
+  // GET /v1/readyz: yes only while not drained and the servers are known.
+  bool ready(bool servers_known) const { return servers_known && !since_ && !stopping_; }
+
+  // How long a caller's connection with nothing open may stay quiet before it is closed; none: as ever.
+  // Fronts stop sending new connections 0.2 s after a no, but clients go on using those they hold, and 4 s
+  // after the drain none may be held idle or in use: first those quiet for a while go, after kEmptyBy all
+  // that are empty.
+  std::optional<Duration> quiet_allowed(Time now) const {
+    if (!since_) return std::nullopt;
+    return now - *since_ < kEmptyBy ? kQuiet : Duration{0};
+  }
+
+  // From kRefuseFrom on, new requests are refused at once with kStayAway, so that what is open can be emptied
+  // and closed before 4 s are over even on a connection that its client never stops using.
+  std::optional<Duration> refuses(Time now) const {
+    if (!since_ || now - *since_ < kRefuseFrom) return std::nullopt;
+    return kStayAway;
+  }
+  // How often connections are looked at: often while they are being emptied.
+  Duration sweep_every(Time now, Duration otherwise) const {
+    return quiet_allowed(now) == Duration{0} ? kSweepEmptying : otherwise;
+  }
+
+  static constexpr Duration kQuiet = std::chrono::milliseconds(300);
+  static constexpr Duration kEmptyBy = std::chrono::milliseconds(1500);
+  static constexpr Duration kRefuseFrom = std::chrono::milliseconds(2500);
+  static constexpr Duration kStayAway = std::chrono::milliseconds(2000);
+  static constexpr Duration kSweepEmptying = std::chrono::milliseconds(20);
+
+ private:
+  std::optional<Time> since_{};
+  bool stopping_ = false;
+};
+
+}  // namespace quartzarch
--- a/src/core/planner.cpp
+++ b/src/core/planner.cpp
@@ -51,6 +51,7 @@
       controller_(start_.settings, seed, loop.now()),
       servers_(loop, log, *this, start_.connect_timeout),
       bounds_(bounds) {
+  for (const std::string& name : start_.class_names) tally_.know(name);
   loop_.at_each_end([this] { return send_due(); });
 }
 
@@ -71,6 +72,14 @@
                                                              : "gone");
   }
   deliver(change.list);
+  if (change.list.whole) listed_servers_.clear();
+  for (const ServerEntry& entry : change.list.entries) {
+    if (entry.availability == Availability::gone) {
+      listed_servers_.erase(entry.id);
+    } else {
+      listed_servers_[entry.id] = entry.availability;
+    }
+  }
   for (const ServerEntry& entry : change.list.entries) {
     if (entry.availability == Availability::gone) {
       servers_.drop(entry.id);
@@ -90,22 +99,35 @@
   }
   // Every set-up gets a new id. One that is over may still be heard of by its id, and a broken caller that
   // asks under one id without end must not make an attempt of each.
-  if (past_.count(call) > 0) return front.fail(call, Failure::error);
+  if (past_.count(call) > 0) {
+    tally_.failed(request.call_class);
+    return front.fail(call, Failure::error);
+  }
   const auto& names = start_.class_names;
   const auto name = std::find(names.begin(), names.end(), request.call_class);
   if (name == names.end()) {
     log_.line("call %s: unknown class \"%s\"", call_text(call).c_str(), request.call_class.c_str());
+    tally_.failed(request.call_class);
     return front.fail(call, Failure::error);
   }
   if (calls_.size() >= bounds_.calls || waiting_bytes_ + request.description.size() > bounds_.waiting_bytes) {
+    tally_.refused(request.call_class);
     return front.refuse(call, kStayAwayWhenFull);
   }
   if (!Servers::can_carry({call, request.call_class, request.number, request.description, {}})) {
     log_.line("call %s: nothing a setup server can read, failed", call_text(call).c_str());
+    tally_.failed(request.call_class);
     return front.fail(call, Failure::error);
   }
+  if (const auto away = drain_ ? drain_->refuses(loop_.now()) : std::nullopt) {
+    tally_.refused(request.call_class);
+    return front.refuse(call, *away);
+  }
   if (gate_) {
-    if (const auto away = gate_->turns_away(request, loop_.now())) return front.refuse(call, *away);
+    if (const auto away = gate_->turns_away(request, loop_.now())) {
+      tally_.refused(request.call_class);
+      return front.refuse(call, *away);
+    }
   }
   CallArrived event;
   event.call = call;
@@ -141,6 +163,7 @@
     const auto away = turns_away(exchange->request());
     if (!away) continue;
     settle(*exchange);
+    tally_.refused(exchange->request().call_class);
     exchange->refuse(*away);
     deliver(CallWithdrawn{call});
     if (Exchange* const left = find(call); left && !left->attempt) erase(call);
@@ -192,6 +215,7 @@
   settle(*exchange);
   const CallId call = line.call;
   if (gate_) gate_->answered(exchange->request(), loop_.now());
+  tally_.served(exchange->request().call_class);
   exchange->answer(std::move(line.description));
   deliver(SetupStood{call, attempt.number, server, loop_.now() - attempt.sent});
   if (!line.load.empty()) told(server, parse_load(line.load));
@@ -240,6 +264,21 @@
   for (const CallId call : cut) end_standing(call, Ending::reset, cause::kTemporary, {});
 }
 
+std::size_t Planner::concurrent() const {
+  return static_cast<std::size_t>(std::count_if(calls_.begin(), calls_.end(), [](const auto& each) {
+    return each.second.owed() || each.second.stands();
+  }));
+}
+
+std::size_t Planner::targets() const { return listed_servers_.size(); }
+
+std::size_t Planner::targets_disabled() const {
+  return static_cast<std::size_t>(
+      std::count_if(listed_servers_.begin(), listed_servers_.end(), [this](const auto& each) {
+        return each.second == Availability::draining || servers_.unreachable(each.first);
+      }));
+}
+
 // ---- Calls
 
 Exchange* Planner::find(CallId call) {
@@ -331,6 +370,7 @@
     if (!exchange || !exchange->attempt || exchange->attempt->number != number || exchange->attempt->left)
       continue;
     exchange->attempt->left = true;
+    ++tally_.dispatches;
     const Request& request = exchange->request();
     servers_.offer(exchange->attempt->server,
                    {call, request.call_class, request.number, request.description, exchange->deadline()});
@@ -351,6 +391,7 @@
   if (!exchange || !exchange->owed()) return;
   settle(*exchange);
   if (gate_) gate_->refused(exchange->request(), loop_.now());
+  tally_.refused(exchange->request().call_class);
   exchange->refuse(action.stay_away);
   if (!exchange->attempt) erase(action.call);
 }
@@ -359,6 +400,7 @@
   Exchange* const exchange = find(action.call);
   if (!exchange || !exchange->owed()) return;
   settle(*exchange);
+  tally_.failed(exchange->request().call_class);
   exchange->fail(exchange->timed_out ? Failure::timed_out : Failure::error);
   if (!exchange->attempt) erase(action.call);
 }
--- a/src/core/planner.hpp
+++ b/src/core/planner.hpp
@@ -4,13 +4,16 @@
 
 #include <deque>
 #include <functional>
+#include <map>
 #include <unordered_map>
 #include <unordered_set>
 #include <vector>
 
 #include "core/calls.hpp"
+#include "core/drain.hpp"
 #include "core/exchange.hpp"
 #include "core/fleet.hpp"
+#include "core/tally.hpp"
 #include "log.hpp"
 #include "net/servers.hpp"
 #include "settings.hpp"
@@ -32,6 +35,8 @@
   void news(const FleetNews& news);
   // Asked for every call before anything is decided about it; it must outlive this, or null.
   void guard(Gate* gate) { gate_ = gate; }
+  // While it drains, what it refuses is refused at once; it must outlive this, or null.
+  void drain_by(const Drain* drain) { drain_ = drain; }
   // Asks for every call that is held, no attempt of it out, and refuses what is turned away now.
   void reconsider(const std::function<std::optional<Duration>(const Request&)>& turns_away);
   // Hears of calls that were answered before this process started and are over now.
@@ -44,6 +49,14 @@
 
   // Requests that still have their answer to come.
   std::size_t owed() const { return owed_; }
+  // Requests taken and not ended: owed their answer, or calls that stand.
+  std::size_t concurrent() const;
+  // What was answered how, and what went to servers; a reload is counted by whoever reads the file.
+  const Tally& tally() const { return tally_; }
+  Tally& tally() { return tally_; }
+  // Servers in the list that are not gone, and those of them that are draining or cannot be reached.
+  std::size_t targets() const;
+  std::size_t targets_disabled() const;
 
  private:
   using Calls = std::unordered_map<CallId, Exchange>;
@@ -97,6 +110,9 @@
   std::deque<CallId> past_order_;
   Front* strays_ = nullptr;
   Gate* gate_ = nullptr;
+  const Drain* drain_ = nullptr;
+  Tally tally_;
+  std::map<ServerId, Availability> listed_servers_;
 };
 
 }  // namespace quartzarch
--- a/src/front/binary.cpp
+++ b/src/front/binary.cpp
@@ -242,6 +242,11 @@
     return now - connection.stream->last_written() > kLongestUnread ? Stay::unread : Stay::may;
   }
   if (!connection.open.empty()) return Stay::may;
+  // Its calls that stand are told when they are over on it: it stays while any does.
+  if (const auto quiet = drain_ ? drain_->quiet_allowed(now) : std::nullopt) {
+    if (now - connection.stream->last_used() >= *quiet && carrying_.count(connection.stream.get()) == 0)
+      return Stay::drained;
+  }
   if (connection.standing == Standing::silent)
     return now - connection.came > kFirstWord ? Stay::unused : Stay::may;
   const Duration limit = connection.standing == Standing::tested ? kIdleLimitTested : kIdleLimit;
@@ -251,6 +256,10 @@
 // Connections that nobody uses are reclaimed, so that silent callers cannot hold what others need. They come
 // and go all day, so nothing is logged of those.
 void BinaryFront::sweep() {
+  carrying_.clear();
+  if (drain_ && drain_->draining()) {
+    for (const auto& [call, stream] : calls_) carrying_.insert(stream);
+  }
   std::vector<const Stream*> over;
   for (const auto& [stream, connection] : connections_) {
     if (stay_of(connection) != Stay::may) over.push_back(stream);
@@ -259,12 +268,16 @@
     const auto found = connections_.find(stream);
     const Stay stay = found == connections_.end() ? Stay::may : stay_of(found->second);
     if (stay == Stay::may) continue;
-    close(found, stay == Stay::stalled ? "half a message" : stay == Stay::unread ? "does not read" : nullptr);
+    close(found, stay == Stay::stalled   ? "half a message"
+                 : stay == Stay::unread  ? "does not read"
+                 : stay == Stay::drained ? "drained"
+                                         : nullptr);
   }
   while (connections_.size() > most_connections_ && make_room()) {
   }
   send_homeless();
-  sweep_timer_ = loop_.at(loop_.now() + kSweep, [this] { sweep(); });
+  const Duration every = drain_ ? drain_->sweep_every(loop_.now(), kSweep) : kSweep;
+  sweep_timer_ = loop_.at(loop_.now() + every, [this] { sweep(); });
 }
 
 void BinaryFront::close(Connections::const_iterator connection, const char* why) {
--- a/src/front/binary.hpp
+++ b/src/front/binary.hpp
@@ -8,6 +8,7 @@
 #include <unordered_map>
 
 #include "core/calls.hpp"
+#include "core/drain.hpp"
 #include "log.hpp"
 #include "net/stream.hpp"
 
@@ -22,6 +23,8 @@
 
   sockaddr_in address() const { return bound_address(acceptor_.fd()); }
   void limit(std::size_t most_connections, std::size_t longest_output);
+  // While it drains, connections with nothing open are closed as it says; it must outlive this.
+  void drain_by(const Drain& drain) { drain_ = &drain; }
   // Everything that is owed has been written.
   bool idle() const;
 
@@ -58,7 +61,7 @@
   Connection* owner_of(CallId call);
   Connection* settle(CallId call);
   void close(Connections::const_iterator connection, const char* why);
-  enum class Stay { may, unused, stalled, unread };
+  enum class Stay { may, unused, stalled, unread, drained };
   Stay stay_of(const Connection& connection) const;
   Connections::const_iterator least_missed() const;
   bool make_room();
@@ -72,6 +75,8 @@
   Acceptor acceptor_;
   std::size_t most_connections_, longest_output_;
   Loop::TimerId sweep_timer_ = 0;
+  const Drain* drain_ = nullptr;
+  std::set<const Stream*> carrying_;  // while it drains: connections with calls open or standing
   Connections connections_;
   std::unordered_map<CallId, const Stream*> calls_;  // open and standing ones, by the connection they came on
   std::deque<Segment> homeless_;                     // releases that no known caller is connected for
--- /dev/null
+++ b/src/front/management.cpp
@@ -0,0 +1,167 @@
+#include "front/management.hpp"
+
+#include <algorithm>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <vector>
+
+namespace quartzarch {
+namespace {
+
+namespace http = boost::beast::http;
+
+constexpr Duration kSweep = std::chrono::milliseconds(100);
+
+const char* reason(int status) {
+  switch (status) {
+    case 200:
+      return "OK";
+    case 400:
+      return "Bad Request";
+    case 404:
+      return "Not Found";
+    case 405:
+      return "Method Not Allowed";
+    case 503:
+      return "Service Unavailable";
+    default:
+      return "Error";
+  }
+}
+
+Reply text(int status, std::string_view words) {
+  return {status, "{\"status\":\"" + std::string(words) + "\"}"};
+}
+
+}  // namespace
+
+Reply route(std::string_view method, std::string_view target, Operated& operated) {
+  const std::string_view path = target.substr(0, target.find('?'));
+  const bool get = method == "GET" || method == "HEAD", post = method == "POST";
+  if (path == "/v1/readyz") {
+    if (!get) return text(405, "method not allowed");
+    return operated.ready() ? text(200, "ready") : text(503, "not ready");
+  }
+  if (path == "/v1/metrics") {
+    if (!get) return text(405, "method not allowed");
+    return {200, operated.metrics()};
+  }
+  if (path == "/v1/call-controller/drain") {
+    if (!post) return text(405, "method not allowed");
+    operated.drain();
+    return text(200, "draining");
+  }
+  if (path == "/v1/call-controller/activate") {
+    if (!post) return text(405, "method not allowed");
+    operated.activate();
+    return text(200, "active");
+  }
+  return text(404, "not found");
+}
+
+struct ManagementFront::Connection {
+  std::shared_ptr<Stream> stream{};
+  http::request_parser<http::string_body> parser{};
+  Time came{};
+};
+
+ManagementFront::ManagementFront(Loop& loop, Logger& log, Operated& operated, const sockaddr_in& listen)
+    : loop_(loop), log_(log), operated_(operated), acceptor_(loop, listen_on(listen)) {
+  // Before what callers and servers say: its answer is due within a second however busy the rest is.
+  loop_.watch(*this, Rank::news);
+  sweep();
+}
+
+ManagementFront::~ManagementFront() {
+  loop_.forget(*this);
+  loop_.cancel(sweep_timer_);
+  for (auto& [stream, connection] : connections_) connection->stream->close();
+}
+
+void ManagementFront::ready(short) {
+  for (;;) {
+    Fd fd = acceptor_.next();
+    if (!fd) return;
+    // Callers that say nothing must not keep out those that ask: the one waiting longest goes.
+    if (connections_.size() >= kMostConnections) {
+      auto oldest = connections_.begin();
+      for (auto each = connections_.begin(); each != connections_.end(); ++each) {
+        if (each->second->came < oldest->second->came) oldest = each;
+      }
+      close(oldest->first);
+    }
+    auto connection = std::make_unique<Connection>();
+    connection->came = loop_.now();
+    connection->parser.header_limit(kLongestRequest);
+    connection->parser.body_limit(kLongestRequest);
+    connection->stream =
+        std::make_shared<Stream>(loop_, std::move(fd), static_cast<Stream::Owner&>(*this), Rank::news);
+    const Stream* const key = connection->stream.get();
+    connections_.emplace(key, std::move(connection));
+  }
+}
+
+void ManagementFront::arrived(Stream& stream) {
+  const auto found = connections_.find(&stream);
+  if (found == connections_.end()) return;
+  Connection& connection = *found->second;
+  auto& parser = connection.parser;
+  boost::beast::error_code error;
+  while (!parser.is_done() && !stream.input().empty()) {
+    const std::string_view input = stream.input();
+    const std::size_t used = parser.put(boost::asio::buffer(input.data(), input.size()), error);
+    stream.consume(used);
+    if (error == http::error::need_more) {
+      error = {};
+      if (stream.input().size() > kLongestRequest) error = http::error::header_limit;
+      break;
+    }
+    if (error) break;
+  }
+  if (error) {
+    log_.line("management: a malformed request: %s", error.message().c_str());
+    return answer(stream, text(400, "bad request"));
+  }
+  if (!parser.is_done()) return;
+  const auto& request = parser.get();
+  const std::string_view method(request.method_string().data(), request.method_string().size());
+  const std::string_view target(request.target().data(), request.target().size());
+  const Reply reply = route(method, target, operated_);
+  // What changes something, or was wrong, is told; the many questions of the platform are not.
+  if (method != "GET" || reply.status >= 400) {
+    log_.line("management: %.*s %.*s: %d", static_cast<int>(method.size()), method.data(),
+              static_cast<int>(std::min<std::size_t>(target.size(), 80)), target.data(), reply.status);
+  }
+  answer(stream, reply);
+}
+
+void ManagementFront::answer(Stream& stream, const Reply& reply) {
+  std::string head =
+      "HTTP/1.1 " + std::to_string(reply.status) + " " + reason(reply.status) +
+      "\r\nContent-Type: application/json\r\nContent-Length: " + std::to_string(reply.body.size()) +
+      "\r\nConnection: close\r\n\r\n";
+  stream.send({std::move(head), reply.body, 0});
+  close(&stream);
+}
+
+void ManagementFront::close(const Stream* stream) {
+  const auto found = connections_.find(stream);
+  if (found == connections_.end()) return;
+  std::unique_ptr<Connection> gone = std::move(found->second);
+  connections_.erase(found);
+  gone->stream->close();
+  loop_.bury(gone->stream);
+}
+
+void ManagementFront::lost(Stream& stream, Lost) { close(&stream); }
+
+void ManagementFront::sweep() {
+  std::vector<const Stream*> late;
+  for (const auto& [stream, connection] : connections_) {
+    if (loop_.now() - connection->came > kLongestWait) late.push_back(stream);
+  }
+  for (const Stream* const stream : late) close(stream);
+  sweep_timer_ = loop_.at(loop_.now() + kSweep, [this] { sweep(); });
+}
+
+}  // namespace quartzarch
--- /dev/null
+++ b/src/front/management.hpp
@@ -0,0 +1,70 @@
+// The second address: HTTP/1.1 for operators and the platform, one call a connection (RFC 9112). Requests are
+// read by Boost.Beast's parser on the program's own loop, so that the answer never waits for another thread;
+// what is wrong with one gets 400 and a close, never more than kLongestRequest bytes are kept, and a caller
+// that has not finished its request within kLongestWait is closed, as is the oldest one when all places are
+// taken.
+#pragma once
+
+#include <map>
+#include <memory>
+#include <string>
+#include <string_view>
+
+#include "log.hpp"
+#include "net/stream.hpp"
+
+namespace quartzarch {
+
+// What the calls of the second address ask of the call controller.
+class Operated {
+ public:
+  virtual ~Operated() = default;
+  virtual bool ready() const = 0;
+  virtual std::string metrics() const = 0;  // one JSON object
+  virtual void drain() = 0;
+  virtual void activate() = 0;
+};
+
+struct Reply {
+  int status = 200;
+  std::string body{};
+};
+
+// Which call a method and target are: GET /v1/readyz, GET /v1/metrics, POST /v1/call-controller/drain and
+// .../activate; other paths are 404, other methods on known ones 405. A query is ignored.
+Reply route(std::string_view method, std::string_view target, Operated& operated);
+
+class ManagementFront : private Watched, private Stream::Owner {
+ public:
+  static constexpr std::size_t kLongestRequest = 8 * 1024;
+  static constexpr std::size_t kMostConnections = 32;
+  static constexpr Duration kLongestWait = std::chrono::milliseconds(1000);
+
+  // Throws std::system_error if the address cannot be listened on.
+  ManagementFront(Loop& loop, Logger& log, Operated& operated, const sockaddr_in& listen);
+  ~ManagementFront() override;
+
+  sockaddr_in address() const { return bound_address(acceptor_.fd()); }
+
+ private:
+  struct Connection;
+
+  int descriptor() const override { return acceptor_.fd().get(); }
+  short interest() const override { return acceptor_.resting() ? 0 : POLLIN; }
+  void ready(short events) override;
+  void arrived(Stream& stream) override;
+  void lost(Stream& stream, Lost how) override;
+
+  void answer(Stream& stream, const Reply& reply);
+  void close(const Stream* stream);
+  void sweep();
+
+  Loop& loop_;
+  Logger& log_;
+  Operated& operated_;
+  Acceptor acceptor_;
+  std::map<const Stream*, std::unique_ptr<Connection>> connections_;
+  Loop::TimerId sweep_timer_ = 0;
+};
+
+}  // namespace quartzarch
--- a/src/net/servers.hpp
+++ b/src/net/servers.hpp
@@ -64,6 +64,11 @@
   void end(const ServerId& server, CallId call, int cause);
   // Releases a call that may stand anywhere.
   void end_everywhere(CallId call, int cause);
+  // A connection was lost and none is up since: the process there may be gone.
+  bool unreachable(const ServerId& server) const {
+    const auto found = links_.find(server);
+    return found != links_.end() && found->second.broken;
+  }
 
  private:
   static constexpr std::size_t kLanes = 4;  // a server tells its state on at most so many
--- a/src/serve.cpp
+++ b/src/serve.cpp
@@ -11,11 +11,14 @@
 #include <optional>
 
 #include "config.hpp"
+#include "core/drain.hpp"
 #include "core/planner.hpp"
 #include "front/binary.hpp"
+#include "front/management.hpp"
 #include "front/sip/front_config.hpp"
 #include "link/planners.hpp"
 #include "link/port.hpp"
+#include "managed.hpp"
 #include "net/coordinator.hpp"
 #include "net/loop.hpp"
 
@@ -87,6 +90,9 @@
 
   // Its settings are read again with the configuration; it is told of the stop.
   void with(KeptCertificates* certificates) { certificates_ = certificates; }
+  // Where files taken and turned down at SIGHUP are counted.
+  void count_in(Tally& tally) { tally_ = &tally; }
+  std::optional<Time> stop_came() const { return signals_.stop_came(); }
 
   void run(const std::function<std::size_t()>& owed, const std::function<bool()>& idle,
            const std::function<void(bool stopping)>& each_pass, const Reload& reload) {
@@ -118,8 +124,10 @@
       }
       reload(fresh);
       if (take_certificates) take_certificates();
+      if (tally_) ++tally_->reload_success;
       log_.line("configuration: read again");
     } catch (const ConfigError& error) {
+      if (tally_) ++tally_->reload_failure;
       log_.line("configuration: %s: %s; the old one goes on", reading.c_str(), error.what());
     }
   }
@@ -128,9 +136,19 @@
   Logger& log_;
   const char* config_path_;
   KeptCertificates* certificates_ = nullptr;
+  Tally* tally_ = nullptr;
   Signals signals_;
 };
 
+// The second address: $NODE_MANAGEMENT, else "management" of the configuration, else none.
+std::optional<sockaddr_in> management_address(const Config& config) {
+  const char* const named = std::getenv("NODE_MANAGEMENT");
+  if (!named || !*named) return config.management;
+  const auto parsed = parse_address(named);
+  if (!parsed) throw ConfigError(std::string("NODE_MANAGEMENT is no address: ") + named);
+  return parsed;
+}
+
 Planner::Bounds bounds_of(const Limits& limits) { return {limits.calls(), limits.waiting_bytes()}; }
 
 // The fronts of a process: on a planner of its own or on several by the link.
@@ -150,6 +168,7 @@
   }
   void limit(const Limits& limits) { binary_.limit(limits.callers(), limits.output_bytes()); }
   Front& strays() { return binary_; }
+  void drain_by(const Drain& drain) { binary_.drain_by(drain); }
   bool idle() const { return binary_.idle(); }
   // Nothing of a dialog outlives the process, so its calls are ended; on the platform's protocol they go on.
   void hang_up() {
@@ -180,10 +199,23 @@
   for (const FleetNews& news : config.known) planner.news(news);
   Fronts fronts(loop, log, planner, config, sip);
   planner.strays_to(fronts.strays());
+  Drain drain;
+  fronts.drain_by(drain);
+  planner.drain_by(&drain);
+  service.count_in(planner.tally());
+  Managed operations(loop, planner, drain);
+  std::optional<ManagementFront> management;
+  if (const auto address = management_address(config)) {
+    management.emplace(loop, log, operations, *address);
+    log.line("%s: management at %s", config.name.c_str(), address_text(management->address()).c_str());
+  }
   Coordinator coordinator(loop, log, config.coordinator, config.known_index,
                           [&planner](const FleetNews& news) { planner.news(news); });
   log.line("%s: serving at %s", config.name.c_str(), address_text(config.listen).c_str());
-  service.run([&] { return planner.owed(); }, [&] { return fronts.idle(); }, [](bool) {},
+  service.run([&] { return planner.owed(); }, [&] { return fronts.idle(); },
+              [&](bool stopping) {
+                if (stopping) drain.stop();
+              },
               [&](const Config& fresh) {
                 coordinator.move(fresh.coordinator);
                 planner.limit(bounds_of(fresh.limits));
--- /dev/null
+++ b/tests/operations_test.cpp
@@ -0,0 +1,129 @@
+// The second address, the drain and what the operators read: over loopback, with the program's own parts.
+#include "core/drain.hpp"
+#include "front/management.hpp"
+#include "loopback.hpp"
+#include "managed.hpp"
+
+namespace quartzarch::test {
+namespace {
+
+class Operations : public Program {
+ protected:
+  Operations() : managed(loop, *planner, drain), management(loop, log, managed, any_port()) {
+    front->drain_by(drain);
+  }
+  // One call of HTTP/1.1: what came back until the program closed the connection.
+  std::string call(const std::string& request) {
+    Peer peer = Peer::connect(management.address());
+    peer.say(request);
+    until([&] { return peer.ended(); }, "the end of the answer");
+    return peer.heard();
+  }
+  std::string get(const std::string& path) { return call("GET " + path + " HTTP/1.1\r\nHost: x\r\n\r\n"); }
+  std::string post(const std::string& path) {
+    return call("POST " + path + " HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n");
+  }
+  static std::string status(const std::string& answer) { return answer.substr(9, 3); }
+
+  Drain drain;
+  Managed managed;
+  ManagementFront management;
+};
+
+TEST_F(Operations, TheFiguresCountWhatWasServedAndSent) {
+  open_server();
+  Peer gateway = caller();
+  stand(gateway);
+  const std::string figures = get("/v1/metrics");
+  EXPECT_EQ(status(figures), "200");
+  const std::string body = figures.substr(figures.find("\r\n\r\n") + 4);
+  EXPECT_EQ(
+      body,
+      "{\"success\":{\"exam\":0,\"voice\":1},\"overload\":{\"exam\":0,\"voice\":0},\"error\":{\"exam\":0,"
+      "\"voice\":0},\"dispatches\":1,\"concurrent\":1,\"targets\":1,\"targets_disabled\":0,"
+      "\"reload_success\":0,\"reload_failure\":0}");
+}
+
+TEST_F(Operations, ADrainSaysNotReadyEmptiesIdleConnectionsAndActivateEndsIt) {
+  EXPECT_EQ(status(get("/v1/readyz")), "503");  // no list of servers yet
+  open_server();
+  EXPECT_EQ(status(get("/v1/readyz")), "200");
+  Peer idle = caller();
+  Peer busy = caller();
+  busy.say(setup(0xaa, "d"));
+  hears(server, "offer");
+  EXPECT_EQ(status(post("/v1/call-controller/drain")), "200");
+  EXPECT_EQ(status(get("/v1/readyz")), "503");
+  until([&] { return idle.ended(); }, "the idle connection closed");
+  EXPECT_FALSE(busy.ended());  // its request is answered first
+  server.say(line("accept", "00000000000000aa", "\"desc\":\"s\""));
+  hears(busy, binary(9, 0xaa, {{210, "s"}}));
+  until([&] { return busy.ended(); }, "the emptied connection closed");
+  EXPECT_EQ(status(post("/v1/call-controller/activate")), "200");
+  EXPECT_EQ(status(get("/v1/readyz")), "200");
+}
+
+TEST_F(Operations, CallersThatSayNothingNeitherBlockNorHoldIt) {
+  open_server();
+  std::vector<Peer> silent;
+  for (std::size_t i = 0; i < ManagementFront::kMostConnections + 8; ++i) {
+    silent.push_back(Peer::connect(management.address()));
+  }
+  EXPECT_EQ(status(get("/v1/readyz")), "200");
+  until([&] { return std::all_of(silent.begin(), silent.end(), [](Peer& p) { return p.ended(); }); },
+        "the silent ones closed");
+}
+
+TEST_F(Operations, WrongCallsAreToldSoAndMalformedOnesClosed) {
+  EXPECT_EQ(status(get("/v1/nothing")), "404");
+  EXPECT_EQ(status(post("/v1/readyz")), "405");
+  EXPECT_EQ(status(get("/v1/call-controller/drain")), "405");
+  EXPECT_EQ(status(call("GARBAGE\r\n\r\n")), "400");
+  EXPECT_EQ(status(call("GET /v1/readyz HTTP/1.1\r\nX: " + std::string(20000, 'a') + "\r\n\r\n")), "400");
+  EXPECT_EQ(status(call("POST /v1/call-controller/drain HTTP/1.1\r\nContent-Length: 999999\r\n\r\n")), "400");
+  EXPECT_FALSE(drain.draining());
+}
+
+// Hostile bytes in any cut: an answer or a close, never a crash.
+TEST_F(Operations, AnyBytesInAnyPiecesGetAnAnswerOrAClose) {
+  const std::string good = "GET /v1/metrics HTTP/1.1\r\nHost: x\r\n\r\n";
+  for (std::size_t cut = 1; cut < good.size(); cut += 3) {
+    Peer peer = Peer::connect(management.address());
+    peer.say(good.substr(0, cut));
+    settle(2);
+    peer.say(good.substr(cut));
+    until([&] { return peer.ended(); }, "the answer");
+    EXPECT_EQ(status(peer.heard()), "200");
+  }
+  for (const char* bad : {"\r\n\r\n", "GET  HTTP/1.1\r\n\r\n", "GET / HTTP/9\r\n\r\n", "\x01\x02\x03\r\n\r\n",
+                          "GET / HTTP/1.1\r\nContent-Length: -1\r\n\r\n"}) {
+    EXPECT_EQ(status(call(bad)), "400") << bad;
+  }
+}
+
+TEST(Drain, IsNotReadyFromTheDrainOnAndClosesQuietThenAllEmptyConnections) {
+  Drain drain;
+  const Time at{std::chrono::seconds(10)};
+  EXPECT_TRUE(drain.ready(true));
+  EXPECT_FALSE(drain.ready(false));
+  EXPECT_FALSE(drain.quiet_allowed(at));
+  drain.drain(at);
+  drain.drain(at + std::chrono::seconds(1));  // the first one counts
+  EXPECT_FALSE(drain.ready(true));
+  EXPECT_EQ(drain.quiet_allowed(at), Drain::kQuiet);
+  EXPECT_EQ(drain.quiet_allowed(at + Drain::kEmptyBy), Duration{0});
+  drain.activate();
+  EXPECT_TRUE(drain.ready(true));
+  EXPECT_FALSE(drain.quiet_allowed(at));
+  drain.stop();
+  drain.activate();
+  EXPECT_FALSE(drain.ready(true));
+}
+
+}  // namespace
+}  // namespace quartzarch::test
+
+int main(int argc, char** argv) {
+  ::testing::InitGoogleTest(&argc, argv);
+  return RUN_ALL_TESTS();
+}
