Listen with SO_REUSEPORT so that an upgrade starts beside the running process

Design: the platform's port is bound with SO_REUSEPORT; one bound there without it still keeps quartzarch out, so a port taken by another program stays fatal (Process.AnAddressThatIsTakenIsFatal unchanged). SIGTERM now drains as POST .../drain does, and 0.5 s after it the kernel's line is emptied and the listening socket closed in one step, so that later connections go to the new process and none waits in a line that nobody reads. A UDP port stays unshared.

Test: Process.ASecondProcessOnTheSameAddressServesBesideTheFirstAndTakesOver (fails with the port bound alone: the second process cannot listen). The drain test now also checks that a connection with a call that stands is kept until the call's end is told on it.

--- a/src/core/drain.hpp
+++ b/src/core/drain.hpp
@@ -16,8 +16,11 @@
   }
   // POST /v1/call-controller/activate: ready again as soon as the list of servers is known.
   void activate() { since_.reset(); }
-  // SIGTERM: not ready for good; connections go as the stop has them go.
-  void stop() { stopping_ = true; }
+  // SIGTERM: not ready for good, and drained from then on unless it was already.
+  void stop(Time now) {
+    stopping_ = true;
+    drain(now);
+  }
 
   bool draining() const { return since_.has_value(); }
   // GET /v1/readyz: yes only while not drained and the servers are known.
--- a/src/front/binary.cpp
+++ b/src/front/binary.cpp
@@ -155,7 +155,7 @@
     : loop_(loop),
       log_(log),
       core_(core),
-      acceptor_(loop, listen_on(listen)),
+      acceptor_(loop, listen_on(listen, Sharing::shared)),
       most_connections_(most_connections),
       longest_output_(longest_output) {
   loop_.watch(*this, Rank::callers);
@@ -174,6 +174,17 @@
   longest_output_ = longest_output;
 }
 
+void BinaryFront::stop_listening() {
+  if (!acceptor_.fd()) return;
+  loop_.forget(*this);
+  // What the kernel has in line would be reset with the socket; at the limit of connections it is so anyway.
+  std::size_t taken = connections_.size();
+  ready(POLLIN);
+  taken = connections_.size() - std::min(taken, connections_.size());
+  acceptor_.close();
+  log_.line("caller: listening no more, %zu connections taken from the line", taken);
+}
+
 bool BinaryFront::idle() const {
   return homeless_.empty() && std::all_of(connections_.begin(), connections_.end(), [](const auto& item) {
            return item.second.open.empty() && item.second.stream->unsent().empty();
--- a/src/front/binary.hpp
+++ b/src/front/binary.hpp
@@ -23,6 +23,8 @@
 
   sockaddr_in address() const { return bound_address(acceptor_.fd()); }
   void limit(std::size_t most_connections, std::size_t longest_output);
+  // Takes what is in line and listens no more: a process beside it on the same address takes what comes next.
+  void stop_listening();
   // While it drains, connections with nothing open are closed as it says; it must outlive this.
   void drain_by(const Drain& drain) { drain_ = &drain; }
   // Everything that is owed has been written.
--- a/src/net/stream.hpp
+++ b/src/net/stream.hpp
@@ -101,6 +101,8 @@
   bool resting() const { return loop_.now() < rests_until_; }
   // The next connection in line, or none.
   Fd next(sockaddr_in* peer = nullptr);
+  // No more connections: what is in line must have been taken first, for what is left is reset.
+  void close() { fd_.reset(); }
 
  private:
   Loop& loop_;
@@ -112,7 +114,11 @@
 std::optional<sockaddr_in> parse_address(std::string_view text);
 std::string address_text(const sockaddr_in& address);
 // A listening TCP socket or a bound UDP one; throws std::system_error.
-Fd listen_on(const sockaddr_in& address);
+// `shared`: with SO_REUSEPORT, so that a process started beside this one on the same address listens too and
+// the kernel spreads new connections over both (an upgrade); a socket bound there without it still keeps it
+// out.
+enum class Sharing { alone, shared };
+Fd listen_on(const sockaddr_in& address, Sharing sharing = Sharing::alone);
 Fd bind_udp(const sockaddr_in& address);
 // The address a socket is bound to: for one bound to port 0, the port it got.
 sockaddr_in bound_address(const Fd& fd);
--- a/src/serve.cpp
+++ b/src/serve.cpp
@@ -29,6 +29,8 @@
 
 // After SIGTERM new connections come for up to 0.4 s, and requests on open ones for a further 0.2 s.
 constexpr Duration kLastArrivals = milliseconds(800);
+// New connections after SIGTERM are taken until then; beside an upgraded process what comes later goes to it.
+constexpr Duration kListenAfterStop = milliseconds(500);
 // What gateways have for answering the last BYEs.
 constexpr Duration kLastByes = milliseconds(1000);
 
@@ -168,6 +170,7 @@
   }
   void limit(const Limits& limits) { binary_.limit(limits.callers(), limits.output_bytes()); }
   Front& strays() { return binary_; }
+  void stop_listening() { binary_.stop_listening(); }
   void drain_by(const Drain& drain) { binary_.drain_by(drain); }
   bool idle() const { return binary_.idle(); }
   // Nothing of a dialog outlives the process, so its calls are ended; on the platform's protocol they go on.
@@ -214,7 +217,10 @@
   log.line("%s: serving at %s", config.name.c_str(), address_text(config.listen).c_str());
   service.run([&] { return planner.owed(); }, [&] { return fronts.idle(); },
               [&](bool stopping) {
-                if (stopping) drain.stop();
+                if (!stopping) return;
+                const Time stop = *service.stop_came();
+                drain.stop(stop);
+                if (loop.now() - stop >= kListenAfterStop) fronts.stop_listening();
               },
               [&](const Config& fresh) {
                 coordinator.move(fresh.coordinator);
--- a/tests/operations_test.cpp
+++ b/tests/operations_test.cpp
@@ -3,6 +3,7 @@
 #include "front/management.hpp"
 #include "loopback.hpp"
 #include "managed.hpp"
+#include "process.hpp"
 
 namespace quartzarch::test {
 namespace {
@@ -58,6 +59,10 @@
   EXPECT_FALSE(busy.ended());  // its request is answered first
   server.say(line("accept", "00000000000000aa", "\"desc\":\"s\""));
   hears(busy, binary(9, 0xaa, {{210, "s"}}));
+  settle(30);
+  EXPECT_FALSE(busy.ended());  // its call stands, and its end is to be told on it
+  server.say(line("end", "00000000000000aa", "\"why\":16"));
+  hears(busy, binary(12, 0xaa, {{208, "\x10"}}));
   until([&] { return busy.ended(); }, "the emptied connection closed");
   EXPECT_EQ(status(post("/v1/call-controller/activate")), "200");
   EXPECT_EQ(status(get("/v1/readyz")), "200");
@@ -115,11 +120,41 @@
   drain.activate();
   EXPECT_TRUE(drain.ready(true));
   EXPECT_FALSE(drain.quiet_allowed(at));
-  drain.stop();
+  drain.stop(at);
   drain.activate();
   EXPECT_FALSE(drain.ready(true));
 }
 
+// An upgrade: a second process on the same address beside the first, with a second address of its own. It
+// starts and says ready; SIGTERM lets the old one exit cleanly, and callers then reach the new one.
+TEST_F(Process, ASecondProcessOnTheSameAddressServesBesideTheFirstAndTakesOver) {
+  const sockaddr_in old_management = free_address(), new_management = free_address();
+  ::setenv("NODE_MANAGEMENT", address_text(old_management).c_str(), 1);
+  start(config());
+  serves();
+  ::setenv("NODE_MANAGEMENT", address_text(new_management).c_str(), 1);
+  const pid_t next = spawn({}, "next");
+  ::unsetenv("NODE_MANAGEMENT");
+  const auto ready = [&](const sockaddr_in& at) {
+    Peer peer = Peer::connect(at);
+    peer.say("GET /v1/readyz HTTP/1.1\r\n\r\n");
+    until([&] { return peer.ended(); }, "an answer of readyz");
+    return peer.heard().rfind("HTTP/1.1 200", 0) == 0;
+  };
+  until([&] { return read_file(directory + "/next").find("serving at") != std::string::npos; }, "the second");
+  EXPECT_TRUE(ready(new_management));
+  EXPECT_TRUE(ready(old_management));
+  ::kill(pid, SIGTERM);
+  EXPECT_EQ(exit_code(), 0);
+  for (int i = 0; i < 8; ++i) {
+    Peer gateway = Peer::connect(address);
+    gateway.say(binary(52, 7, {{208, std::string(1, 0)}}));
+    until([&] { return gateway.heard() == binary(53, 7, {{208, "\x01"}}); }, "a test passed by the new one");
+  }
+  ::kill(next, SIGTERM);
+  EXPECT_EQ(exit_code_of(next), 0);
+}
+
 }  // namespace
 }  // namespace quartzarch::test
 
