Read settings again at SIGHUP: new classes, fewer attempts, broken files kept out

Design: a file read again must have every key the running one has (of the classes, every key all running ones share), names, deadlines and attempts_cap over 0 (config.cpp check_again); else it is counted and the old one stays whole. New settings reach the module as an event, SettingsChanged: the class table only grows, a new or changed class takes a new place, so a call under way keeps its class. Not taken: a new controller, which forgets the servers.

Test: Process.BrokenFilesAtSighupAreCountedAndKeptOutWholeAndAGoodOneTakesNewClasses (six broken files, then a new class served).

--- a/include/quartzarch/controller.hpp
+++ b/include/quartzarch/controller.hpp
@@ -140,8 +140,15 @@
   std::string body{};
 };
 
+// New settings read while running: the classes by index, of which those of calls under way keep their place
+// (new and changed ones are added at the end), and the attempts a call may have from now on.
+struct SettingsChanged {
+  std::vector<CallClass> classes{};
+  unsigned attempts_cap = 1;
+};
+
 using Event = std::variant<ServerList, ListFailed, CallArrived, CallWithdrawn, SetupStood, AttemptEnded,
-                           ServerProbed, TimerFired, PeerMessage>;
+                           ServerProbed, TimerFired, PeerMessage, SettingsChanged>;
 
 // ---- Actions
 
--- a/src/config.cpp
+++ b/src/config.cpp
@@ -7,6 +7,8 @@
 #include <charconv>
 #include <cmath>
 #include <fstream>
+#include <map>
+#include <optional>
 #include <sstream>
 
 #include "net/stream.hpp"
@@ -83,8 +85,60 @@
   return news;
 }
 
+// The first key of `was` that `now` lacks, as a path; what the coordinator told is not compared.
+std::optional<std::string> missing(object was, object now, const std::string& path) {
+  for (const auto field : was) {
+    const std::string key(field.key);
+    const std::string at = path.empty() ? key : path + "." + key;
+    element there;
+    if (now.at_key(field.key).get(there) != simdjson::SUCCESS) return at;
+    if (key == "known") continue;
+    if (field.value.is_object() && there.is_object()) {
+      if (auto lacking = missing(field.value.get_object(), there.get_object(), at)) return lacking;
+    }
+    if (key == "request_classes" && field.value.is_array() && there.is_array()) {
+      // Classes come and go: each new one has what all the running ones have in common.
+      std::map<std::string, std::size_t> shared;
+      std::size_t count = 0;
+      for (const element entry : field.value.get_array()) {
+        if (!entry.is_object()) continue;
+        ++count;
+        for (const auto item : entry.get_object()) ++shared[std::string(item.key)];
+      }
+      for (const element entry : there.get_array()) {
+        if (!entry.is_object()) return at + "[]";
+        for (const auto& [name, times] : shared) {
+          element found;
+          if (times == count && entry.get_object().at_key(name).get(found) != simdjson::SUCCESS)
+            return at + "[]." + name;
+        }
+      }
+    }
+  }
+  return std::nullopt;
+}
+
 }  // namespace
 
+void check_again(std::string_view running, std::string_view fresh, const Config& fresh_config) {
+  simdjson::dom::parser was_parser, now_parser;
+  try {
+    if (const auto lacking =
+            missing(was_parser.parse(running).get_object(), now_parser.parse(fresh).get_object(), "")) {
+      throw ConfigError("\"" + *lacking + "\" is missing");
+    }
+  } catch (const simdjson::simdjson_error& error) {
+    throw ConfigError(std::string("no JSON of the expected form: ") + error.what());
+  }
+  const StartUp& start = fresh_config.start;
+  for (std::size_t i = 0; i < start.settings.classes.size(); ++i) {
+    if (start.class_names[i].empty()) throw ConfigError("a class of call has no name");
+    if (start.settings.classes[i].deadline <= Duration{0})
+      throw ConfigError("\"deadline\" of class \"" + start.class_names[i] + "\" is not over 0");
+  }
+  if (start.settings.attempts_cap == 0) throw ConfigError("\"attempts_cap\" is not over 0");
+}
+
 FleetNews parse_news(std::string_view json) {
   simdjson::dom::parser parser;
   try {
--- a/src/config.hpp
+++ b/src/config.hpp
@@ -50,6 +50,10 @@
 
 // Throws ConfigError with one plain line.
 Config parse_config(std::string_view json);
+// For a file read again at SIGHUP: throws ConfigError naming a key that the running file has and `fresh`
+// lacks (of the classes, one that all running ones have), a class without a name, or a deadline or a number
+// of attempts that is not over 0. `fresh_config` is what `fresh` was parsed to.
+void check_again(std::string_view running, std::string_view fresh, const Config& fresh_config);
 // A file's text; throws ConfigError if it cannot be read.
 std::string read_file(const std::string& path);
 
--- a/src/controller.cpp
+++ b/src/controller.cpp
@@ -446,6 +446,10 @@
     if (wake_at_ && *wake_at_ <= now_) wake_at_.reset();
   }
   void on(const PeerMessage&) {}
+  void on(const SettingsChanged& changed) {
+    if (!changed.classes.empty()) settings_.classes = changed.classes;
+    settings_.attempts_cap = std::max(changed.attempts_cap, 1u);
+  }
 
   // ---- The gap
 
--- a/src/core/planner.cpp
+++ b/src/core/planner.cpp
@@ -89,6 +89,38 @@
   }
 }
 
+void Planner::resettle(const StartUp& fresh) {
+  std::vector<CallClass>& table = start_.settings.classes;
+  std::vector<std::string>& names = start_.class_names;
+  std::vector<bool> kept(names.size(), false);
+  for (std::size_t i = 0; i < fresh.class_names.size(); ++i) {
+    const std::string& name = fresh.class_names[i];
+    const CallClass& wanted = fresh.settings.classes[i];
+    const auto at = std::find(names.begin(), names.end(), name);
+    const auto same = [&](const CallClass& c) {
+      return c.aim == wanted.aim && c.deadline == wanted.deadline && c.worth == wanted.worth &&
+             c.late_worth == wanted.late_worth && c.repeatable == wanted.repeatable &&
+             c.pools == wanted.pools;
+    };
+    if (at != names.end() && same(table[static_cast<std::size_t>(at - names.begin())])) {
+      kept[static_cast<std::size_t>(at - names.begin())] = true;
+      continue;
+    }
+    // A new or changed class takes a new place; calls of the old one keep theirs.
+    table.push_back(wanted);
+    names.push_back(name);
+    kept.push_back(true);
+    tally_.know(name);
+  }
+  // What vanished, or was replaced by a later place, is no longer found by its name.
+  for (std::size_t i = 0; i < names.size(); ++i) {
+    if (!kept[i]) names[i].clear();
+  }
+  start_.settings.attempts_cap = fresh.settings.attempts_cap;
+  start_.longest_deadline = std::max(start_.longest_deadline, fresh.longest_deadline);
+  deliver(SettingsChanged{table, fresh.settings.attempts_cap});
+}
+
 // ---- Fronts
 
 void Planner::request(Request request, Front& front) {
@@ -104,7 +136,8 @@
     return front.fail(call, Failure::error);
   }
   const auto& names = start_.class_names;
-  const auto name = std::find(names.begin(), names.end(), request.call_class);
+  const auto name =
+      request.call_class.empty() ? names.end() : std::find(names.begin(), names.end(), request.call_class);
   if (name == names.end()) {
     log_.line("call %s: unknown class \"%s\"", call_text(call).c_str(), request.call_class.c_str());
     tally_.failed(request.call_class);
--- a/src/core/planner.hpp
+++ b/src/core/planner.hpp
@@ -31,6 +31,9 @@
 
   Planner(Loop& loop, Logger& log, StartUp start, std::uint64_t seed, Bounds bounds);
   void limit(Bounds bounds) { bounds_ = bounds; }
+  // New settings at SIGHUP: classes that appear, change or vanish, and the attempts a call may have. A
+  // request under way keeps the class it came with.
+  void resettle(const StartUp& fresh);
 
   void news(const FleetNews& news);
   // Asked for every call before anything is decided about it; it must outlive this, or null.
--- a/src/serve.cpp
+++ b/src/serve.cpp
@@ -92,6 +92,8 @@
 
   // Its settings are read again with the configuration; it is told of the stop.
   void with(KeptCertificates* certificates) { certificates_ = certificates; }
+  // The text of the file that it started with: what a file read again must have too.
+  void started_with(std::string text) { running_ = std::move(text); }
   // Where files taken and turned down at SIGHUP are counted.
   void count_in(Tally& tally) { tally_ = &tally; }
   std::optional<Time> stop_came() const { return signals_.stop_came(); }
@@ -118,7 +120,9 @@
   void read_again(const Reload& reload) {
     std::string reading = config_path_;
     try {
-      const Config fresh = parse_config(read_file(config_path_));
+      std::string text = read_file(config_path_);
+      const Config fresh = parse_config(text);
+      check_again(running_, text, fresh);
       std::function<void()> take_certificates;
       if (certificates_) {
         reading = certificates_->path();
@@ -126,6 +130,7 @@
       }
       reload(fresh);
       if (take_certificates) take_certificates();
+      running_ = std::move(text);
       if (tally_) ++tally_->reload_success;
       log_.line("configuration: read again");
     } catch (const ConfigError& error) {
@@ -139,6 +144,7 @@
   const char* config_path_;
   KeptCertificates* certificates_ = nullptr;
   Tally* tally_ = nullptr;
+  std::string running_;  // the text of the file in force
   Signals signals_;
 };
 
@@ -225,6 +231,7 @@
               [&](const Config& fresh) {
                 coordinator.move(fresh.coordinator);
                 planner.limit(bounds_of(fresh.limits));
+                planner.resettle(fresh.start);
                 fronts.limit(fresh.limits);
               });
   fronts.hang_up();
@@ -273,7 +280,9 @@
 void serve_with(Logger& log, Files& files, const char* config_path, const ServeOptions& options) {
   Loop loop;
   Service service(loop, log, config_path);
-  const Config config = parse_config(files.read(config_path));
+  std::string text = files.read(config_path);
+  const Config config = parse_config(text);
+  service.started_with(std::move(text));
   std::optional<sip::FrontConfig> sip;
   if (options.sip) sip = sip::parse_front_config(files.read(options.sip->c_str()), options.certs.has_value());
   std::vector<sockaddr_in> planners;
--- a/tests/operations_test.cpp
+++ b/tests/operations_test.cpp
@@ -155,6 +155,54 @@
   EXPECT_EQ(exit_code_of(next), 0);
 }
 
+// Broken files at SIGHUP keep the old settings whole and are counted; a good one brings a new class and fewer
+// attempts, and a request of the new class is served.
+TEST_F(Process, BrokenFilesAtSighupAreCountedAndKeptOutWholeAndAGoodOneTakesNewClasses) {
+  const sockaddr_in management = free_address();
+  ::setenv("NODE_MANAGEMENT", address_text(management).c_str(), 1);
+  start(config());
+  ::unsetenv("NODE_MANAGEMENT");
+  Peer server;
+  until([&] { return static_cast<bool>(server = listener.accept()); }, "its connection");
+  serves();
+  const auto figures = [&] {
+    Peer peer = Peer::connect(management);
+    peer.say("GET /v1/metrics HTTP/1.1\r\n\r\n");
+    until([&] { return peer.ended(); }, "the figures");
+    return peer.heard();
+  };
+  const std::string good = config(), file = directory + "/config.json";
+  const auto with = [&](const std::string& from, const std::string& to) {
+    std::string text = good;
+    return text.replace(text.find(from), from.size(), to);
+  };
+  const std::vector<std::string> broken = {
+      "",
+      good.substr(0, good.size() / 2),
+      with(R"("limits":{"attempts_cap":6,"cancelling":true})", "\"x\":1"),
+      with("\"deadline\":9000", "\"deadline\":0"),
+      with("\"attempts_cap\":6", "\"attempts_cap\":0"),
+      with(R"("name":"voice","aim":1500,)", R"("aim":1500,)")};
+  for (std::size_t i = 0; i < broken.size(); ++i) {
+    acme::replace_file(file, broken[i]);
+    ::kill(pid, SIGHUP);
+    const std::string counted = "\"reload_failure\":" + std::to_string(i + 1) + "}";
+    until([&] { return figures().find(counted) != std::string::npos; }, "a broken file counted");
+  }
+  EXPECT_NE(figures().find("\"reload_success\":0"), std::string::npos);
+  acme::replace_file(file, with(R"({"name":"voice","aim":1500,"deadline":9000})",
+                                R"({"name":"voice","aim":1500,"deadline":9000},)"
+                                R"({"name":"exam","aim":800,"deadline":6000})"));
+  ::kill(pid, SIGHUP);
+  until([&] { return figures().find("\"reload_success\":1") != std::string::npos; }, "the good file");
+  Peer gateway = Peer::connect(address);
+  gateway.say(binary(1, 0xaa, {{180, "exam"}, {182, "5000"}, {188, "7f3a"}, {210, "d"}}));
+  hears(server, "\"class\":\"exam\"");
+  server.say("{\"op\":\"accept\",\"call\":\"00000000000000aa\",\"with\":{},\"desc\":\"s\"}\n");
+  hears(gateway, binary(9, 0xaa, {{210, "s"}}));
+  EXPECT_NE(figures().find("\"success\":{\"exam\":1,\"voice\":0}"), std::string::npos);
+}
+
 }  // namespace
 }  // namespace quartzarch::test
 
