--- a/src/core/planner.cpp
+++ b/src/core/planner.cpp
@@ -76,14 +76,9 @@
   for (const ServerEntry& entry : change.list.entries) {
     if (entry.availability == Availability::gone) {
       listed_servers_.erase(entry.id);
-    } else {
-      listed_servers_[entry.id] = entry.availability;
-    }
-  }
-  for (const ServerEntry& entry : change.list.entries) {
-    if (entry.availability == Availability::gone) {
       servers_.drop(entry.id);
     } else {
+      listed_servers_[entry.id] = entry.availability;
       servers_.keep(entry.id);
     }
   }
@@ -129,38 +124,35 @@
     log_.line("call %s: a second set-up with its id, ignored", call_text(call).c_str());
     return;
   }
+  // Answers given before anything is decided, counted as all others are.
+  const auto fail_now = [&] {
+    tally_.failed(request.call_class);
+    front.fail(call, Failure::error);
+  };
+  const auto refuse_now = [&](Duration stay_away) {
+    tally_.refused(request.call_class);
+    front.refuse(call, stay_away);
+  };
   // Every set-up gets a new id. One that is over may still be heard of by its id, and a broken caller that
   // asks under one id without end must not make an attempt of each.
-  if (past_.count(call) > 0) {
-    tally_.failed(request.call_class);
-    return front.fail(call, Failure::error);
-  }
+  if (past_.count(call) > 0) return fail_now();
   const auto& names = start_.class_names;
   const auto name =
       request.call_class.empty() ? names.end() : std::find(names.begin(), names.end(), request.call_class);
   if (name == names.end()) {
     log_.line("call %s: unknown class \"%s\"", call_text(call).c_str(), request.call_class.c_str());
-    tally_.failed(request.call_class);
-    return front.fail(call, Failure::error);
+    return fail_now();
   }
   if (calls_.size() >= bounds_.calls || waiting_bytes_ + request.description.size() > bounds_.waiting_bytes) {
-    tally_.refused(request.call_class);
-    return front.refuse(call, kStayAwayWhenFull);
+    return refuse_now(kStayAwayWhenFull);
   }
   if (!Servers::can_carry({call, request.call_class, request.number, request.description, {}})) {
     log_.line("call %s: nothing a setup server can read, failed", call_text(call).c_str());
-    tally_.failed(request.call_class);
-    return front.fail(call, Failure::error);
-  }
-  if (const auto away = drain_ ? drain_->refuses(loop_.now()) : std::nullopt) {
-    tally_.refused(request.call_class);
-    return front.refuse(call, *away);
+    return fail_now();
   }
+  if (const auto away = drain_ ? drain_->refuses(loop_.now()) : std::nullopt) return refuse_now(*away);
   if (gate_) {
-    if (const auto away = gate_->turns_away(request, loop_.now())) {
-      tally_.refused(request.call_class);
-      return front.refuse(call, *away);
-    }
+    if (const auto away = gate_->turns_away(request, loop_.now())) return refuse_now(*away);
   }
   CallArrived event;
   event.call = call;
