Split the certificate keeper by concern: records, accounts, challenges, one order, the pass

Change: Store and Turn are what a keeper keeps its state in and whose turn it is; StateDirectory and Lease are the ones on disk. records.* (JSON of schedules, orders, accounts, challenges; no I/O), accounts.*, challenges.*, issuing.* (one order), environment.* (steps of a pass, told to end or the turn lost).

--- /dev/null
+++ b/src/acme/accounts.cpp
@@ -0,0 +1,141 @@
+#include "acme/accounts.hpp"
+
+#include "acme/records.hpp"
+
+namespace quartzarch::acme {
+namespace {
+
+constexpr Seconds kWrongClock = std::chrono::hours(1);
+
+}  // namespace
+
+std::string span_text(Seconds seconds) {
+  const auto count = seconds.count();
+  if (count >= 2 * 86400) return std::to_string(count / 86400) + " d";
+  if (count >= 2 * 3600) return std::to_string(count / 3600) + " h";
+  if (count >= 2 * 60) return std::to_string(count / 60) + " min";
+  return std::to_string(count) + " s";
+}
+
+std::string Accounts::file(std::size_t authority, const char* suffix) const {
+  const std::string& url = settings_.authorities[authority].access.directory;
+  return "account-" + hex(sha256(url)).substr(0, 16) + suffix;
+}
+
+Account Accounts::load(std::size_t authority) {
+  Account account;
+  account.orders = Budget(settings_.policy.orders.most, settings_.policy.orders.span);
+  const std::string key_file = file(authority, ".key.pem");
+  if (const auto pem = store_.read_pem(key_file)) {
+    try {
+      account.key = key_from_pem(pem->view());
+    } catch (const CryptoError& error) {
+      store_.put_aside(key_file, error.what());
+    }
+  }
+  const auto text = store_.read(file(authority, ".json"));
+  if (auto record = text ? parse_account(*text) : std::nullopt) {
+    if (account.key) account.url = std::move(record->url);
+    account.contact = std::move(record->contact);
+    account.orders.restore(std::move(record->orders));
+  }
+  return account;
+}
+
+void Accounts::save(std::size_t authority, const Account& account) {
+  store_.write(file(authority, ".json"),
+               to_text(AccountRecord{settings_.authorities[authority].access.directory, account.url,
+                                     account.contact, account.orders.events()}));
+}
+
+std::vector<Budget> Accounts::budgets() {
+  std::vector<Budget> all;
+  for (std::size_t i = 0; i < settings_.authorities.size(); ++i) all.push_back(load(i).orders);
+  return all;
+}
+
+std::unique_ptr<Session> Accounts::open(std::size_t authority) {
+  const AuthoritySettings& settings = settings_.authorities[authority];
+  auto session = std::make_unique<Session>();
+  Account& account = session->account = load(authority);
+  session->client = std::make_unique<Client>(settings.access, environment_.now, environment_.stopped);
+  Client& client = *session->client;
+  client.has_renewal_info();  // reads the directory
+  if (const Seconds ahead = client.clock_ahead(); std::chrono::abs(ahead) > kWrongClock) {
+    throw AcmeError(Failure::local, "our clock and the authority's differ by " +
+                                        span_text(std::chrono::abs(ahead)) +
+                                        ": nothing is ordered by a wrong clock");
+  }
+  if (!account.key) {
+    // On disk before the authority hears of it: the account is found again by it.
+    account.key = new_key();
+    steps_.step("account key");
+    store_.write_pem(file(authority, ".key.pem"), pem_of(account.key));
+    account.url.clear();
+  }
+  client.use(account.key, account.url);
+  finish_roll_over(authority, *session);
+  if (account.url.empty()) {
+    steps_.step("new account");
+    client.open_account();
+    account.url = client.account_url();
+    account.contact = settings.access.contact;
+    steps_.step("account open");
+    save(authority, account);
+  } else if (account.contact != settings.access.contact) {
+    client.change_contact();
+    account.contact = settings.access.contact;
+    save(authority, account);
+  }
+  return session;
+}
+
+// A rollover that was broken off: the fresh key is on disk, and the authority knows which of the two holds.
+void Accounts::finish_roll_over(std::size_t authority, Session& session) {
+  const std::string fresh_file = file(authority, ".next.pem");
+  const auto pem = store_.read_pem(fresh_file);
+  if (!pem) return;
+  Key fresh;
+  try {
+    fresh = key_from_pem(pem->view());
+  } catch (const CryptoError& error) {
+    return store_.put_aside(fresh_file, error.what());
+  }
+  session.client->use(fresh, {});
+  if (const auto url = session.client->open_account(true)) {
+    store_.write_pem(file(authority, ".key.pem"), *pem);
+    session.account.key = std::move(fresh);
+    session.account.url = *url;
+    save(authority, session.account);
+  }
+  session.client->use(session.account.key, session.account.url);
+  store_.remove(fresh_file);
+}
+
+void Accounts::forget(std::size_t authority) {
+  Account account = load(authority);
+  account.url.clear();
+  save(authority, account);
+}
+
+void Accounts::roll_over(std::size_t authority) {
+  const auto session = open(authority);
+  Key fresh = new_key();
+  const Secret pem = pem_of(fresh);
+  steps_.step("next key");
+  store_.write_pem(file(authority, ".next.pem"), pem);
+  steps_.step("roll over");
+  session->client->roll_over(fresh);
+  steps_.step("rolled over");
+  store_.write_pem(file(authority, ".key.pem"), pem);
+  store_.remove(file(authority, ".next.pem"));
+}
+
+void Accounts::deactivate(std::size_t authority) {
+  open(authority)->client->deactivate();
+  // The key is of no more use: the next order opens a new account.
+  store_.put_aside(file(authority, ".key.pem"), "the account is deactivated");
+  store_.remove(file(authority, ".json"));
+}
+
+}  // namespace quartzarch::acme
--- a/src/acme/state.cpp
+++ b/src/acme/state.cpp
@@ -116,11 +116,11 @@
   const bool whole = text->starts_with(kMagic) && text->size() >= head && (*text)[head - 1] == '\n' &&
                      text->compare(kMagic.size(), 64, hex(sha256(std::string_view(*text).substr(head)))) == 0;
   if (whole) return text->substr(head);
-  put_aside(name, text->starts_with(kMagic) ? "torn or changed by hand" : "not a record of this program");
+  set_aside(name, text->starts_with(kMagic) ? "torn or changed by hand" : "not a record of this program");
   return std::nullopt;
 }
 
-void StateDirectory::write(const std::string& name, std::string_view text) const {
+void StateDirectory::write(const std::string& name, std::string_view text) {
   replace_file(path_of(name), std::string(kMagic) + hex(sha256(text)) + "\n" + std::string(text));
 }
 
@@ -130,17 +130,17 @@
   return Secret(std::move(*text));
 }
 
-void StateDirectory::write_pem(const std::string& name, const Secret& pem) const {
+void StateDirectory::write_pem(const std::string& name, const Secret& pem) {
   replace_file(path_of(name), pem.view());
 }
 
-void StateDirectory::remove(const std::string& name) const {
+void StateDirectory::remove(const std::string& name) {
   const std::string path = path_of(name);
   if (::unlink(path.c_str()) != 0 && errno != ENOENT) throw StateError(failure(path));
   sync_directory_of(path);
 }
 
-void StateDirectory::put_aside(const std::string& name, const std::string& why) const {
+void StateDirectory::set_aside(const std::string& name, const std::string& why) const {
   const std::string path = path_of(name);
   for (int i = 1; i < 1000; ++i) {
     const std::string aside = path + ".aside-" + std::to_string(i);
