Keep a fleet's certificates in the register, sealed, renewed by the holder of a duty

Several controllers with certificates needed one disk and agreeing clocks; a holder that stalled was fenced by looking at a lease file only.

A watch of a prefix that is watched already begins anew (a file read again makes a new keeper). An account that is deactivated goes from the store, not only aside.

--- a/src/acme/accounts.cpp
+++ b/src/acme/accounts.cpp
@@ -135,6 +135,7 @@
   open(authority)->client->deactivate();
   // The key is of no more use: the next order opens a new account.
   store_.put_aside(file(authority, ".key.pem"), "the account is deactivated");
+  store_.remove(file(authority, ".key.pem"));
   store_.remove(file(authority, ".json"));
 }
 
--- a/src/acme/keeper.cpp
+++ b/src/acme/keeper.cpp
@@ -45,14 +45,7 @@
       issuing_(*store_, settings_, log_, steps_, accounts_, challenges_) {
   for (AuthoritySettings& authority : settings_.authorities) {
     if (!authority.access.external) continue;
-    const auto slash = authority.eab_key_file.rfind('/');
-    const StateDirectory beside(slash == std::string::npos ? "." : authority.eab_key_file.substr(0, slash),
-                                {});
-    const auto text = beside.read_pem(slash == std::string::npos ? authority.eab_key_file
-                                                                 : authority.eab_key_file.substr(slash + 1));
-    std::string trimmed = text ? text->text() : std::string();
-    while (!trimmed.empty() && std::isspace(static_cast<unsigned char>(trimmed.back()))) trimmed.pop_back();
-    const auto key = from_base64url(trimmed);
+    const auto key = from_base64url(read_secret(authority.eab_key_file).value_or(""));
     if (!key || key->empty()) throw SettingsError(authority.eab_key_file + " holds no key in base64url");
     authority.access.external->mac_key = *key;
   }
--- a/src/acme/state.cpp
+++ b/src/acme/state.cpp
@@ -50,6 +50,17 @@
 
 }  // namespace
 
+std::optional<std::string> read_secret(const std::string& path) {
+  const auto slash = path.rfind('/');
+  const bool here = slash == std::string::npos;
+  const StateDirectory beside(here ? "." : path.substr(0, slash), {});
+  const auto read = beside.read_pem(here ? path : path.substr(slash + 1));
+  if (!read) return std::nullopt;
+  std::string text = read->text();
+  while (!text.empty() && std::isspace(static_cast<unsigned char>(text.back()))) text.pop_back();
+  return text;
+}
+
 void replace_file(const std::string& path, std::string_view text) {
   const std::string beside = path + ".new." + std::to_string(::getpid());
   {
--- a/src/acme/state.hpp
+++ b/src/acme/state.hpp
@@ -13,6 +13,10 @@
 
 namespace quartzarch::acme {
 
+// A file that is the owner's alone, in a directory that is too; without the white space at its end. Nothing
+// if there is none. Throws StateError.
+std::optional<std::string> read_secret(const std::string& path);
+
 // Readers see the old text or the new one. Throws StateError.
 void replace_file(const std::string& path, std::string_view text);
 
--- a/src/certificates.cpp
+++ b/src/certificates.cpp
@@ -13,7 +13,8 @@
   }
 }
 
-Certificates::Certificates(Logger& log, const std::string& path, bool tls_port) : log_(log), path_(path) {
+Certificates::Certificates(Logger& log, const std::string& path, bool tls_port, KeepIn keep_in)
+    : log_(log), path_(path), keep_in_(std::move(keep_in)) {
   acme::Settings settings = read(path);
   const auto& ways = settings.challenges;
   if (!tls_port && std::find(ways.begin(), ways.end(), "http-01") == ways.end()) {
@@ -21,8 +22,14 @@
         "\"challenges\" has tls-alpn-01 only, which needs a TLS port (\"tls\" in the file of --sip)");
   }
   // The first one on the caller's thread: what is on disk is served from the first connection on.
-  keeper_ = std::make_unique<acme::Keeper>(std::move(settings), log, registry_,
-                                           acme::Environment::real(round_.get_token()));
+  keeper_ = keeper(std::move(settings), round_.get_token());
+}
+
+std::unique_ptr<acme::Keeper> Certificates::keeper(acme::Settings settings, std::stop_token round) const {
+  acme::Kept kept = keep_in_ ? keep_in_(settings, [round] { return round.stop_requested(); })
+                             : acme::kept_on_disk(settings, log_);
+  return std::make_unique<acme::Keeper>(std::move(settings), log_, registry_,
+                                        acme::Environment::real(std::move(round)), std::move(kept));
 }
 
 void Certificates::begin() {
@@ -61,13 +68,11 @@
     }
     if (!fresh) continue;
     try {
-      keeper_ =
-          std::make_unique<acme::Keeper>(std::move(*fresh), log_, registry_, acme::Environment::real(round));
+      keeper_ = keeper(std::move(*fresh), round);
     } catch (const std::exception& error) {
       log_.line("certificates: %s; the old settings go on", error.what());
       // Its environment ended with the round that it was made for.
-      keeper_ = std::make_unique<acme::Keeper>(keeper_->settings(), log_, registry_,
-                                               acme::Environment::real(round));
+      keeper_ = keeper(keeper_->settings(), round);
     }
   }
 }
--- a/src/cli/certs.cpp
+++ b/src/cli/certs.cpp
@@ -2,11 +2,13 @@
 
 #include <cstdio>
 #include <map>
+#include <optional>
 
 #include "acme/json.hpp"
 #include "acme/keeper.hpp"
 #include "certificates.hpp"
 #include "config.hpp"
+#include "fleet/certificate_store.hpp"
 
 namespace quartzarch::cli {
 namespace {
@@ -15,17 +17,44 @@
 
 // Running instances look for challenges twice a second; they answer those of this command.
 constexpr std::chrono::milliseconds kSettle{2500};
+constexpr Duration kPatience = std::chrono::seconds(5);
 
 // RFC 5280, 5.3.1.
 const std::map<std::string, int> kReasons{{"unspecified", 0},          {"keyCompromise", 1},
                                           {"affiliationChanged", 3},   {"superseded", 4},
                                           {"cessationOfOperation", 5}, {"privilegeWithdrawn", 9}};
 
-acme::Keeper keeper_of(const std::string& file, Logger& log) {
-  acme::Settings settings = Certificates::read(file);
-  settings.settle = std::max(settings.settle, kSettle);
-  return {std::move(settings), log, nullptr, acme::Environment::real({})};
-}
+// A keeper for the commands. With a fleet it asks for the duty, does what it does under its token and sealed,
+// and hands the duty on.
+class Hand {
+ public:
+  Hand(const std::string& file, const std::optional<std::string>& fleet_file, Logger& log) {
+    acme::Settings settings = Certificates::read(file);
+    settings.settle = std::max(settings.settle, kSettle);
+    acme::Kept kept;
+    if (fleet_file) {
+      const fleet::FleetSettings fleet = fleet::parse_fleet(read_file(*fleet_file));
+      const std::string name = "certs-by-hand-" + std::to_string(acme::random_bits());
+      member_.emplace(log, fleet, name, acme::random_bits(),
+                      std::vector<std::string>{fleet::kCertificatesDuty});
+      kept = fleet::kept_by_fleet(settings, log, *member_, fleet::read_seal(fleet), fleet.start_wait,
+                                  [] { return false; });
+      reg::Command move;
+      move.op = reg::Op::move;
+      move.name = fleet::kCertificatesDuty;
+      move.value = name;
+      if (!member_->ask_and_wait(move, kPatience)) throw std::runtime_error("no voter of the fleet answers");
+    } else {
+      kept = acme::kept_on_disk(settings, log);
+    }
+    keeper_.emplace(std::move(settings), log, nullptr, acme::Environment::real({}), std::move(kept));
+  }
+  acme::Keeper* operator->() { return &*keeper_; }
+
+ private:
+  std::optional<fleet::Membership> member_;
+  std::optional<acme::Keeper> keeper_;  // ends first
+};
 
 std::string or_null(const std::optional<acme::Instant>& at) {
   return at ? "\"" + acme::timestamp(*at) + "\"" : "null";
@@ -106,6 +135,9 @@
   rollover_ = add("rollover", "give the account a new key");
   contact_ = add("contact", "tell the authority the contact of the settings");
   deactivate_ = add("deactivate", "end the account; the next order opens a new one");
+  for (CLI::App* const each : {renew_, revoke_, rollover_, contact_, deactivate_}) {
+    each->add_option("--fleet", fleet_, "the fleet whose certificates they are (deploy/fleet.toml)");
+  }
   for (CLI::App* const each : {rollover_, contact_, deactivate_}) {
     each->add_option("--authority", authority_, "by its name in the settings; the first if left out");
   }
@@ -136,7 +168,7 @@
 int Certs::status() const {
   std::FILE* const nowhere = std::fopen("/dev/null", "w");
   Logger quiet(nowhere);
-  acme::Keeper keeper = keeper_of(file_, quiet);
+  acme::Keeper keeper(Certificates::read(file_), quiet, nullptr, acme::Environment::real({}));
   int code = 0;
   std::string out;
   bool found = false;
@@ -158,12 +190,12 @@
 
 int Certs::renew(Logger& log) const {
   if (id_.empty() == !all_) throw acme::SettingsError("renew needs an ID or --all");
-  acme::Keeper keeper = keeper_of(file_, log);
+  Hand keeper(file_, fleet_, log);
   int code = 0;
   std::string out;
-  for (const auto& each : keeper.settings().certificates) {
+  for (const auto& each : keeper->settings().certificates) {
     if (!all_ && each.id != id_) continue;
-    const std::string failure = keeper.renew_now(each.id);
+    const std::string failure = keeper->renew_now(each.id);
     if (!failure.empty()) code = 1;
     if (json_) {
       out += (out.empty() ? "" : ",") + std::string("{\"id\":") + in_quotes(each.id) +
@@ -178,8 +210,8 @@
 }
 
 int Certs::revoke(Logger& log) const {
-  acme::Keeper keeper = keeper_of(file_, log);
-  const std::string failure = keeper.revoke(id_, kReasons.at(reason_));
+  Hand keeper(file_, fleet_, log);
+  const std::string failure = keeper->revoke(id_, kReasons.at(reason_));
   if (json_) {
     std::printf("{\"id\":%s,\"revoked\":%s,\"failure\":%s}\n", in_quotes(id_).c_str(),
                 failure.empty() ? "true" : "false", in_quotes(failure).c_str());
@@ -190,14 +222,14 @@
 }
 
 int Certs::account(Logger& log) const {
-  acme::Keeper keeper = keeper_of(file_, log);
-  const auto& authorities = keeper.settings().authorities;
+  Hand keeper(file_, fleet_, log);
+  const auto& authorities = keeper->settings().authorities;
   std::size_t index = 0;
   while (index < authorities.size() && !authority_.empty() && authorities[index].name != authority_) ++index;
   if (index == authorities.size()) throw acme::SettingsError("there is no authority \"" + authority_ + "\"");
-  const std::string failure = rollover_->parsed()  ? keeper.roll_over(index)
-                              : contact_->parsed() ? keeper.change_contact(index)
-                                                   : keeper.deactivate(index);
+  const std::string failure = rollover_->parsed()  ? keeper->roll_over(index)
+                              : contact_->parsed() ? keeper->change_contact(index)
+                                                   : keeper->deactivate(index);
   const std::string& name = authorities[index].name;
   if (json_) {
     std::printf("{\"authority\":%s,\"done\":%s,\"failure\":%s}\n", in_quotes(name).c_str(),
--- a/src/cli/certs.hpp
+++ b/src/cli/certs.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <CLI/CLI.hpp>
+#include <optional>
 #include <string>
 
 #include "log.hpp"
@@ -27,6 +28,7 @@
   CLI::App *status_, *renew_, *revoke_, *rollover_, *contact_, *deactivate_, *check_;
   std::string file_ = "deploy/certs.toml";
   std::string id_{}, reason_ = "unspecified", authority_{}, checked_{};
+  std::optional<std::string> fleet_{};
   bool json_ = false, all_ = false;
 };
 
--- a/src/cli/command_line.cpp
+++ b/src/cli/command_line.cpp
@@ -9,6 +9,7 @@
 #include "cli/fleet.hpp"
 #include "cli/gap.hpp"
 #include "config.hpp"
+#include "fleet/certificate_store.hpp"
 #include "fleet/gap_list.hpp"
 #include "operation.hpp"
 #include "serve.hpp"
@@ -71,20 +72,30 @@
     log.line("usage: %s (quartzarch --help tells more)", wrong.c_str());
     return 2;
   }
-  serve_options.make_certificates = [](Logger& to, const std::string& path, bool tls_port) {
-    return std::make_unique<Certificates>(to, path, tls_port);
-  };
   fleet::FleetSettings fleet_settings;
   fleet::Membership* member = nullptr;  // lives longer than what is made after it
+  std::optional<fleet::Seal> seal;
   serve_options.make_fleet = [&](Logger& to, const std::string& path, const std::string& name,
                                  std::uint64_t seed) {
     fleet_settings = fleet::parse_fleet(read_file(path));
     std::vector<std::string> duties;
+    if (serve_options.certs) duties.emplace_back(fleet::kCertificatesDuty);
     if (serve_options.control) duties.emplace_back(fleet::kGapsDuty);
+    if (serve_options.certs) seal = fleet::read_seal(fleet_settings);
     auto made = std::make_unique<fleet::Membership>(to, fleet_settings, name, seed, duties);
     member = made.get();
     return made;
   };
+  serve_options.make_certificates = [&](Logger& to, const std::string& path, bool tls_port) {
+    Certificates::KeepIn keep_in;
+    if (member) {
+      keep_in = [&](const acme::Settings& settings, std::function<bool()> stopped) {
+        return fleet::kept_by_fleet(settings, to, *member, *seal, fleet_settings.start_wait,
+                                    std::move(stopped));
+      };
+    }
+    return std::make_unique<Certificates>(to, path, tls_port, std::move(keep_in));
+  };
   serve_options.make_operation = [&](Loop& loop, Logger& to, Planner& planner, const std::string& path,
                                      std::uint64_t seed) {
     ControlSettings settings = parse_control(read_file(path));
--- a/src/fleet/settings.cpp
+++ b/src/fleet/settings.cpp
@@ -116,6 +116,11 @@
                  settings.directory = n.value_or(std::string());
                  if (settings.directory.empty()) fail(n, k, "is no text");
                }},
+              {"secret_file",
+               [&](const toml::node& n, const std::string& k) {
+                 settings.secret_file = n.value_or(std::string());
+                 if (settings.secret_file.empty()) fail(n, k, "is no text");
+               }},
               {"listen", [&](const toml::node& n, const std::string& k) { settings.listen = address(n, k); }},
               {"lease_ms", ms(settings.ttl, 500, 60000)},
               {"election_ms", ms(settings.election, 100, 10000)},
--- a/src/fleet/settings.hpp
+++ b/src/fleet/settings.hpp
@@ -35,6 +35,7 @@
   Duration ending = std::chrono::milliseconds(300);
   Duration start_wait = std::chrono::milliseconds(2000);  // for what is shared, before calls are taken
   double drift = 0.05;
+  std::string secret_file{};  // with what is in it certificates' keys are sealed in the register; empty: none
   std::vector<Duty> duties{};
 
   const VoterAddress* voter(std::string_view name) const;
--- a/src/register/access.cpp
+++ b/src/register/access.cpp
@@ -16,7 +16,7 @@
   asked_[++last_id_] = {std::move(command), std::move(done), now + settings_.patience, false, {}};
 }
 
-void Access::watch(const std::string& prefix, Told told) { watches_[prefix].told = std::move(told); }
+void Access::watch(const std::string& prefix, Told told) { watches_[prefix] = {std::move(told)}; }
 
 std::vector<std::string> Access::due(Time now) {
   std::vector<std::uint64_t> late;
--- a/src/register/access.hpp
+++ b/src/register/access.hpp
@@ -33,7 +33,8 @@
   Access(Settings settings, std::uint64_t seed);
 
   void ask(Time now, Command command, Done done);
-  // Everything under `prefix` as it is, then each change; begins anew by itself where a gap would be.
+  // Everything under `prefix` as it is, then each change, in the place of an earlier watch of that prefix;
+  // begins anew by itself where a gap would be.
   void watch(const std::string& prefix, Told told);
 
   // Frames to be sent to `voter()` now. Whoever sends them keeps one connection, to that voter, and says when
