Change a fleet's voters while a duty is held: fleet remove, sessions, how far each is behind

Change: fleet remove NAME at the leader (refused while its file names the voter: it would come back), fleet sessions, a column behind in fleet status. A voter is added by being named and started empty. bench_duty plays a large fleet of which a third is cut off. A duty that another holds is asked for every 20 leases instead of every 4: the watch tells of changes, and at 300 controllers with 64 duties the asking alone would have been 1,600 writes a second through the log.

--- a/bench/duty.cpp
+++ b/bench/duty.cpp
@@ -148,6 +148,34 @@
   }
 }
 
+// A large fleet in virtual time; the middle 30 s of 50 without a third of its controllers.
+void large_fleet(Figures& figures, bool quick) {
+  faults::WorldSettings settings;
+  settings.controllers = quick ? 60 : 300;
+  settings.duties = quick ? 16 : 64;
+  settings.ttl = milliseconds(3000);
+  settings.length = std::chrono::seconds(50);
+  settings.settling = std::chrono::seconds(10);
+  settings.third_cut_off = true;
+  settings.loss = settings.late = 0;
+  const faults::Seen seen = faults::walk(settings);
+  const double length = 60;
+  std::vector<double> gaps;
+  for (const Duration gap : seen.gaps) gaps.push_back(ms(gap));
+  figures.add("fleet_controllers", settings.controllers,
+              "virtual time, leases of 3 s, a third cut off for 30 s");
+  figures.add("fleet_duties", settings.duties);
+  figures.add("fleet_faults", !seen.fault.empty(), seen.fault.c_str());
+  figures.add("fleet_messages_a_controller_s",
+              static_cast<double>(seen.client_messages) / length / settings.controllers, "sent by it");
+  figures.add("fleet_bytes_a_controller_s",
+              static_cast<double>(seen.client_bytes) / length / settings.controllers);
+  figures.add("fleet_messages_leader_s", static_cast<double>(seen.leader_messages) / length, "sent by it");
+  figures.add("fleet_bytes_leader_s", static_cast<double>(seen.leader_bytes) / length);
+  figures.add("fleet_holdings", static_cast<double>(seen.holdings), "taken up, the first ones among them");
+  figures.add("fleet_without_holder_worst_ms", bench::percentile(gaps, 1));
+}
+
 // ---- Hand-overs between processes of the program
 
 std::int64_t real_us() { return unix_time().count(); }
@@ -370,6 +398,7 @@
   const bool quick = quartzarch::bench::quick(argc, argv);
   quartzarch::bench::Figures figures("duty");
   quartzarch::walks(figures, quick);
+  quartzarch::large_fleet(figures, quick);
   quartzarch::writes(figures, quick);
   quartzarch::hand_overs(figures, quick);
   quartzarch::file_leases(figures, quick);
--- a/src/cli/fleet.cpp
+++ b/src/cli/fleet.cpp
@@ -70,6 +70,23 @@
   return reply;
 }
 
+// What each voter says of itself, in the file's order; empty: it did not answer.
+std::vector<std::vector<std::string>> ask_voters(const fleet::FleetSettings& settings) {
+  Loop loop(steady_time);
+  std::vector<std::unique_ptr<Question>> questions;
+  for (const auto& voter : settings.voters) {
+    questions.push_back(
+        std::make_unique<Question>(loop, voter.address, reg::frame(reg::FrameType::status, 0, {})));
+  }
+  const auto open = [&] {
+    return std::any_of(questions.begin(), questions.end(), [](const auto& each) { return !each->over(); });
+  };
+  for (const Time until = loop.now() + kPatience; open() && loop.now() < until;) loop.pass(milliseconds(20));
+  std::vector<std::vector<std::string>> answers;
+  for (const auto& each : questions) answers.push_back(each->answer());
+  return answers;
+}
+
 int unreached() {
   std::fprintf(stderr, "no voter answered as the leader within %lld s\n",
                static_cast<long long>(kPatience / std::chrono::seconds(1)));
@@ -96,6 +113,10 @@
   init_->add_option("--name", name_, "the controller's name among the voters")->required();
   status_ = add(fleet_, "status", "each voter: leader, term, log, sessions");
   status_->add_flag("--json", json_, "a line of JSON for each voter");
+  sessions_ = add(fleet_, "sessions", "the controllers that are there");
+  sessions_->add_flag("--json", json_, "a line of JSON for each session");
+  remove_ = add(fleet_, "remove", "take out a voter that no controller's file names any more");
+  remove_->add_option("voter", name_, "the voter's name")->required();
   list_ = add(duty_, "list", "all duties and who holds them");
   list_->add_flag("--json", json_, "a line of JSON for each duty");
   show_ = of_duty("show", "one duty");
@@ -121,6 +142,8 @@
   std::signal(SIGPIPE, SIG_IGN);
   if (init_->parsed()) return init(log, settings);
   if (status_->parsed()) return status(settings);
+  if (sessions_->parsed()) return sessions(settings);
+  if (remove_->parsed()) return remove(settings);
   if (hold_->parsed()) return hold(log, settings);
   if (list_->parsed() || show_->parsed()) return list(log, settings);
   return operate(log, settings);
@@ -146,23 +169,18 @@
 }
 
 int FleetCommands::status(const fleet::FleetSettings& settings) {
-  Loop loop(steady_time);
-  std::vector<std::unique_ptr<Question>> questions;
-  for (const auto& voter : settings.voters) {
-    questions.push_back(
-        std::make_unique<Question>(loop, voter.address, reg::frame(reg::FrameType::status, 0, {})));
+  const auto answers = ask_voters(settings);
+  std::uint64_t newest = 0;
+  for (const auto& a : answers) {
+    if (a.size() >= 10) newest = std::max<std::uint64_t>(newest, std::strtoull(a[4].c_str(), nullptr, 10));
   }
-  const auto open = [&] {
-    return std::any_of(questions.begin(), questions.end(), [](const auto& each) { return !each->over(); });
-  };
-  for (const Time until = loop.now() + kPatience; open() && loop.now() < until;) loop.pass(milliseconds(20));
   std::size_t answered = 0;
   if (!json_)
-    std::printf("%-16s %-10s %6s %-16s %8s %8s %8s %8s\n", "voter", "state", "term", "leader", "log",
-                "applied", "revision", "sessions");
-  for (std::size_t i = 0; i < questions.size(); ++i) {
+    std::printf("%-16s %-10s %6s %-16s %8s %8s %8s %8s %8s\n", "voter", "state", "term", "leader", "log",
+                "applied", "behind", "revision", "sessions");
+  for (std::size_t i = 0; i < answers.size(); ++i) {
     const std::string& name = settings.voters[i].name;
-    const auto& a = questions[i]->answer();
+    const auto& a = answers[i];
     if (a.size() < 10) {
       if (json_) {
         std::printf("{\"voter\":%s,\"state\":\"unreachable\"}\n", in_quotes(name).c_str());
@@ -172,6 +190,8 @@
       continue;
     }
     ++answered;
+    const auto behind = static_cast<unsigned long long>(
+        newest - std::min(newest, std::uint64_t{std::strtoull(a[6].c_str(), nullptr, 10)}));
     std::size_t votes = 0;
     for (std::size_t at = 10; at + 2 < a.size(); at += 3) votes += a[at] == name && a[at + 2] == "1";
     const char* const state = a[7] == "1"   ? "failed"
@@ -180,16 +200,63 @@
                                             : "joining";
     if (json_) {
       std::printf(
-          "{\"voter\":%s,\"state\":\"%s\",\"term\":%s,\"leader\":%s,\"log\":%s,\"applied\":%s,\"revision\":%"
-          "s,\"sessions\":%s}\n",
+          "{\"voter\":%s,\"state\":\"%s\",\"term\":%s,\"leader\":%s,\"log\":%s,\"applied\":%s,\"behind\":%"
+          "llu,"
+          "\"revision\":%s,\"sessions\":%s}\n",
           in_quotes(name).c_str(), state, a[2].c_str(), in_quotes(a[3]).c_str(), a[4].c_str(), a[6].c_str(),
-          a[9].c_str(), a[8].c_str());
+          behind, a[9].c_str(), a[8].c_str());
     } else {
-      std::printf("%-16s %-10s %6s %-16s %8s %8s %8s %8s\n", name.c_str(), state, a[2].c_str(),
-                  a[3].empty() ? "-" : a[3].c_str(), a[4].c_str(), a[6].c_str(), a[9].c_str(), a[8].c_str());
+      std::printf("%-16s %-10s %6s %-16s %8s %8s %8llu %8s %8s\n", name.c_str(), state, a[2].c_str(),
+                  a[3].empty() ? "-" : a[3].c_str(), a[4].c_str(), a[6].c_str(), behind, a[9].c_str(),
+                  a[8].c_str());
+    }
+  }
+  return answered * 2 > answers.size() ? 0 : 1;
+}
+
+int FleetCommands::sessions(const fleet::FleetSettings& settings) {
+  reg::Command command;
+  command.op = reg::Op::list;
+  command.name = reg::kSessionPrefix;
+  if (!json_) std::printf("%-24s %s\n", "controller", "incarnation");
+  for (bool more = true; more;) {
+    const auto reply = ask(settings, command);
+    if (!reply) return unreached();
+    for (const reg::Item& item : reply->items) {
+      const std::string key = item.key.substr(reg::kSessionPrefix.size());
+      const auto slash = key.rfind('/');
+      const std::string name = key.substr(0, slash), incarnation = key.substr(slash + 1);
+      if (json_) {
+        std::printf("{\"controller\":%s,\"incarnation\":%s,\"session\":%s}\n", in_quotes(name).c_str(),
+                    incarnation.c_str(), item.value.c_str());
+      } else {
+        std::printf("%-24s %s\n", name.c_str(), incarnation.c_str());
+      }
     }
+    more = reply->more;
+    if (more) command.value = reply->items.back().key;
+  }
+  return 0;
+}
+
+int FleetCommands::remove(const fleet::FleetSettings& settings) {
+  const auto answers = ask_voters(settings);
+  const auto leads = std::find_if(answers.begin(), answers.end(),
+                                  [](const auto& a) { return a.size() >= 10 && a[1] == "1"; });
+  if (leads == answers.end()) return unreached();
+  Loop loop(steady_time);
+  const Question question(loop, settings.voters[static_cast<std::size_t>(leads - answers.begin())].address,
+                          reg::frame(reg::FrameType::remove, 0, {name_}));
+  for (const Time until = loop.now() + kPatience; !question.over() && loop.now() < until;) {
+    loop.pass(milliseconds(20));
+  }
+  if (question.answer().size() != 1) {
+    std::fprintf(stderr, "the leader does not answer: whether it was done, \"fleet status\" tells\n");
+    return 1;
   }
-  return answered * 2 > questions.size() ? 0 : 1;
+  const std::string& wrong = question.answer().front();
+  if (!wrong.empty()) std::fprintf(stderr, "%s: %s\n", name_.c_str(), wrong.c_str());
+  return wrong.empty() ? 0 : 1;
 }
 
 int FleetCommands::list(Logger&, const fleet::FleetSettings& settings) {
--- a/src/cli/fleet.hpp
+++ b/src/cli/fleet.hpp
@@ -22,12 +22,14 @@
  private:
   int init(Logger& log, const fleet::FleetSettings& settings);
   int status(const fleet::FleetSettings& settings);
+  int sessions(const fleet::FleetSettings& settings);
+  int remove(const fleet::FleetSettings& settings);
   int hold(Logger& log, const fleet::FleetSettings& settings);
   int list(Logger& log, const fleet::FleetSettings& settings);
   int operate(Logger& log, const fleet::FleetSettings& settings);
 
   CLI::App *fleet_, *duty_;
-  CLI::App *init_, *status_, *hold_, *list_, *show_, *move_, *pause_, *resume_;
+  CLI::App *init_, *status_, *sessions_, *remove_, *hold_, *list_, *show_, *move_, *pause_, *resume_;
   std::string file_ = "deploy/fleet.toml", name_{}, duty_name_{}, to_{};
   std::vector<std::string> command_{};
   bool json_ = false, once_ = false;
--- a/src/duty/steward.cpp
+++ b/src/duty/steward.cpp
@@ -16,7 +16,7 @@
 // Of controllers that see a duty fall free in the same moment, each waits by chance up to this.
 constexpr int kJitterMs = 40;
 // A duty that is held is asked for again without news after so many times to live: a change may go untold.
-constexpr int kLookAgain = 4;
+constexpr int kLookAgain = 20;
 // A holding that lasted this many back-offs halves it.
 constexpr int kProven = 10;
 
--- a/src/register/frames.hpp
+++ b/src/register/frames.hpp
@@ -10,6 +10,7 @@
 //     status    asked without values; answered with {name, leads, term, the leader's name, last index,
 //     committed,
 //               applied, failed, sessions, revision, (voter's name, identity, votes)*}
+//     remove    {name}: a voter that no file names any more; answered with remove {what is wrong, or empty}
 //     consensus what the voters' library says to itself (register/wire.hpp)
 //     behind    number = the voter's revision                  {prefix}: changes since then are not kept
 #pragma once
@@ -28,7 +29,8 @@
   behind,
   hello = 110,
   join,
-  status
+  status,
+  remove
 };
 
 inline std::string frame(FrameType type, std::uint64_t number, const std::vector<std::string>& values) {
--- a/src/register/voter_server.cpp
+++ b/src/register/voter_server.cpp
@@ -173,6 +173,8 @@
     case FrameType::status:
       from.stream->send({status(), {}, 0});
       return true;
+    case FrameType::remove:
+      return remove(from, message);
     default:
       return service_->received(loop_.now(), from.client, message);
   }
@@ -196,6 +198,32 @@
   return true;
 }
 
+// By hand. One that the file names would ask to be added again at once.
+bool VoterServer::remove(const Connection& from, const link::LinkMessage& message) {
+  if (message.values.size() != 1) return false;
+  const std::string name(message.text(0));
+  const auto answer = [this, client = from.client](const std::string& wrong) {
+    send_to_client(client, frame(FrameType::remove, 0, {wrong}));
+  };
+  const Voters voters = node_->status().voters;
+  const auto found =
+      std::find_if(voters.begin(), voters.end(), [&](const Voter& voter) { return voter.address == name; });
+  if (!node_->leads()) {
+    answer("this voter is not the leader");
+  } else if (settings_.addresses.count(name) > 0) {
+    answer("the leader's file names it, so it would come back");
+  } else if (found == voters.end()) {
+    answer("there is no such voter");
+  } else {
+    node_->remove_voter(loop_.now(), found->id, [this, name, answer](const std::string& error) {
+      log_.line("register: voters: remove %s by hand: %s", name.c_str(),
+                error.empty() ? "done" : error.c_str());
+      answer(error);
+    });
+  }
+  return true;
+}
+
 void VoterServer::lost(Stream& stream, Lost) {
   if (const auto found = connections_.find(&stream); found != connections_.end()) {
     const Connection gone = std::move(found->second);
--- a/src/register/voter_server.hpp
+++ b/src/register/voter_server.hpp
@@ -71,6 +71,7 @@
 
   bool take(Connection& from, const link::LinkMessage& message, std::string_view bytes);
   bool join(const Connection& from);
+  bool remove(const Connection& from, const link::LinkMessage& message);
   std::string status() const;
   void send_to(const std::string& name, std::string bytes);
   void send_to_client(std::uint64_t client, std::string frame);
--- a/standin/faults/world.cpp
+++ b/standin/faults/world.cpp
@@ -45,7 +45,12 @@
   Seen run() {
     for (auto& voter : voters_) step(*voter);
     for (auto& controller : controllers_) step(*controller);
-    draw_fault();
+    if (settings_.third_cut_off) {
+      cut_third(true, seconds(10));
+      cut_third(false, seconds(40));
+    } else {
+      draw_fault();
+    }
     while (now_ < settings_.length && fault_.empty()) next_event();
     heal();
     const Time healed = now_;
@@ -231,7 +236,7 @@
   void between_voters(Voter& from, reg::VoterId to, std::string bytes) {
     ++seen_.messages;
     seen_.bytes += bytes.size();
-    if (from.node && from.node->leads()) ++seen_.leader_messages;
+    if (from.node && from.node->leads()) ++seen_.leader_messages, seen_.leader_bytes += bytes.size();
     const auto found =
         std::find_if(voters_.begin(), voters_.end(), [&](const auto& v) { return v->id == to; });
     if (found == voters_.end()) return;
@@ -393,6 +398,8 @@
   void to_voter(Controller& controller, std::string bytes) {
     ++seen_.messages;
     seen_.bytes += bytes.size();
+    ++seen_.client_messages;
+    seen_.client_bytes += bytes.size();
     const std::string target = controller.access->voter();
     for (auto& each : voters_) {
       if (address(each->number) != target) continue;
@@ -434,7 +441,7 @@
   void to_client(Voter& voter, std::uint64_t client, std::string bytes) {
     ++seen_.messages;
     seen_.bytes += bytes.size();
-    if (voter.node && voter.node->leads()) ++seen_.leader_messages;
+    if (voter.node && voter.node->leads()) ++seen_.leader_messages, seen_.leader_bytes += bytes.size();
     Controller& controller = *controllers_[client >> 32];
     const auto connection = static_cast<unsigned>(client);
     if (controller.connection != connection) return;
@@ -572,6 +579,17 @@
     ++controller.connection;
   }
 
+  void cut_third(bool cut, Time when) {
+    at(when, [this, cut] {
+      for (auto& controller : controllers_) {
+        if (controller->number % 3 != 0) continue;
+        for (unsigned voter = 0; voter < settings_.voters; ++voter) {
+          cut_[party(*controller)][voter] = cut_[voter][party(*controller)] = cut;
+        }
+      }
+    });
+  }
+
   // One party from all others, both ways or one way, or each link by chance.
   void cut(Duration length) {
     const auto parties = static_cast<unsigned>(cut_.size());
@@ -660,6 +678,8 @@
   // By the world's one clock: nobody holds what another holds. A process that stands still believes nothing;
   // it looks at its clock first when it goes on.
   void check_holders() {
+    if (settings_.third_cut_off && now_ - holders_checked_ < milliseconds(50)) return;
+    holders_checked_ = now_;
     for (unsigned i = 0; i < settings_.duties; ++i) {
       const std::string duty = duty_name(i);
       int holders = 0;
@@ -712,6 +732,7 @@
   reg::VoterId last_identity_ = 0;
   Time join_again_{};
   std::vector<std::vector<bool>> cut_;  // from, to
+  Time holders_checked_{};
   std::map<unsigned, Time> last_up_, last_down_;
   std::map<std::string, reg::Token> newest_token_;
   std::map<std::string, Time> free_since_;
--- a/standin/faults/world.hpp
+++ b/standin/faults/world.hpp
@@ -25,6 +25,9 @@
   double loss = 0.01;
   double late = 0.004;       // share of messages that come up to 3 s late, overtaken by others
   bool voters_only = false;  // all faults are deaths of voters, and cuts
+  // For fleets to be measured: no other faults, but every third controller cut off from all voters from 10 s
+  // on for 30 s; who holds is looked at once in 50 ms.
+  bool third_cut_off = false;
   reg::Defects defects{};
   bool forgets_vote = false;
   bool counts_from_answer = false;
@@ -38,9 +41,10 @@
   std::uint64_t holdings = 0;                      // taken up
   std::uint64_t faults = 0;
   std::uint64_t messages = 0, bytes = 0;
-  std::uint64_t leader_messages = 0;
-  std::vector<Duration> gaps{};  // without a holder, duty by duty, each time
-  Duration settled_after{};      // all duties held again, from the healing on
+  std::uint64_t leader_messages = 0, leader_bytes = 0;  // sent by it
+  std::uint64_t client_messages = 0, client_bytes = 0;  // sent by controllers
+  std::vector<Duration> gaps{};                         // without a holder, duty by duty, each time
+  Duration settled_after{};                             // all duties held again, from the healing on
 };
 
 // Runs one walk to its end or to the first fault.
--- a/tests/duty_faults_test.cpp
+++ b/tests/duty_faults_test.cpp
@@ -142,5 +142,53 @@
   EXPECT_GT(last_call_ - 0xaa00, 30u);
 }
 
+// From three voters to five and back while a duty is held, one step at a time.
+TEST_F(DutyFaults, VotersAreAddedAndTakenOutWhileADutyIsHeld) {
+  lease_ms = 10000;
+  start_fleet();
+  named = 5;  // whoever holds must reach each that may lead
+  start_holder("h1");
+  holds("h1");
+  const auto restart = [&](int number) {
+    kill(voter(number));
+    start_voter(number);
+    votes(voter(number));
+  };
+  for (int i = 0; i < 3; ++i) restart(i);
+  for (int i = 3; i < 5; ++i) {
+    std::filesystem::create_directory(directory + "/" + voter(i) + ".register");
+    start_voter(i);
+    votes(voter(i));
+  }
+  kill("a");
+  kill("d");  // three of five are there
+  more_work(20);
+  start_voter(0);
+  start_voter(3);
+  votes("d");
+  int code = 0;
+  std::string said;
+  until(
+      [&] {
+        return (said = ask({"fleet", "remove", "d"}, &code)).find("would come back") != std::string::npos;
+      },
+      "the refusal");
+  EXPECT_EQ(code, 1) << said;
+  named = 3;
+  for (int i = 0; i < 3; ++i) restart(i);
+  for (const char* const each : {"d", "e"}) {
+    kill(each);
+    until([&] { return ask({"fleet", "remove", each}, &code), code == 0; }, "its being taken out");
+  }
+  kill("b");  // two of three are there
+  more_work(20);
+  until(
+      [&] {
+        return ask({"fleet", "sessions", "--json"}).find("\"controller\":\"h1\"") != std::string::npos;
+      },
+      "the holder's session");
+  EXPECT_EQ(holdings(), 1u) << "the duty changed hands";
+}
+
 }  // namespace
 }  // namespace quartzarch::test
--- a/tests/fleet_process.hpp
+++ b/tests/fleet_process.hpp
@@ -17,13 +17,15 @@
 class FleetProcess : public Process {
  protected:
   static constexpr int kVoters = 3;
+  static constexpr int kMostVoters = 5;
+  int named = kVoters;  // by the files that are written from now on
   int lease_ms = 1000;
   std::optional<sockaddr_in> setup_server{};  // in the place of the scripted one
   std::string fleet_more;                     // further lines of the serving processes' file
 
   FleetProcess() {
     acme::replace_file(directory + "/config.json", config());
-    for (int i = 0; i < kVoters; ++i) listen_[i] = free_address();
+    for (int i = 0; i < kMostVoters; ++i) listen_[i] = free_address();
   }
   ~FleetProcess() override {
     for (const auto& [name, child] : children_) {
@@ -43,7 +45,7 @@
     std::string text = "directory = \"" + directory + "/" + who +
                        ".register\"\nlease_ms = " + std::to_string(lease_ms) +
                        "\nelection_ms = 200\nheartbeat_ms = 50\nending_ms = 200\n" + more;
-    for (int i = 0; i < kVoters; ++i) {
+    for (int i = 0; i < named; ++i) {
       auto& relay = relays_[who + voter(i)];
       if (!relay) relay = std::make_unique<faults::Relay>(listen_[i]);
       const bool itself = who == voter(i);
@@ -188,7 +190,7 @@
   }
   // By the voters' logs: the last that a voter told as leader, of those that run.
   std::string leader() {
-    for (int i = 0; i < kVoters; ++i) {
+    for (int i = 0; i < kMostVoters; ++i) {
       if (children_.count(voter(i)) == 0) continue;
       const std::string text = log_of(voter(i));
       const auto at = text.rfind("the leader is ");
@@ -198,7 +200,7 @@
   }
 
  private:
-  sockaddr_in listen_[kVoters]{};
+  sockaddr_in listen_[kMostVoters]{};
   std::map<int, sockaddr_in> callers_;
   std::map<std::string, std::unique_ptr<faults::Relay>> relays_;
   std::map<std::string, pid_t> children_;
