A voter whose disk was full goes on by itself once there is room

Change: StorageError tells whether the failure may pass (SQLITE_FULL, SQLITE_IOERR_WRITE; never a failed sync). VoterServer opens such a disk again every 2 s, writes to it once, and lets the node begin anew from it, as a start would.

--- a/src/acme/keeper.hpp
+++ b/src/acme/keeper.hpp
@@ -59,7 +59,6 @@
   std::string deactivate(std::size_t authority);
   std::string change_contact(std::size_t authority);
   const Settings& settings() const { return settings_; }
-  std::optional<Turn::Holder> turn_holder() { return turn_->holder(environment_.now()); }
 
  private:
   struct Managed {
@@ -72,7 +71,6 @@
     std::optional<Validity> held{};
     std::optional<Alarm> told{};
     Instant told_at{};
-    bool reported_unusable = false;
   };
   std::string file(const Managed& managed, const char* suffix) const { return managed.settings.id + suffix; }
 
--- a/src/register/disk.cpp
+++ b/src/register/disk.cpp
@@ -3,6 +3,7 @@
 #include <sqlite3.h>
 
 #include <algorithm>
+#include <utility>
 
 #include "register/wire.hpp"
 
@@ -78,10 +79,14 @@
   bool done_ = false;
 };
 
-Disk::Disk(const std::string& directory, const char* vfs) : path_(directory + "/register.sqlite") {
+Disk::Disk(const std::string& directory, const char* vfs) : path_(directory + "/register.sqlite"), vfs_(vfs) {
+  open();
+}
+
+void Disk::open() {
   const int flags = SQLITE_OPEN_READWRITE | SQLITE_OPEN_CREATE | SQLITE_OPEN_NOMUTEX;
   try {
-    if (sqlite3_open_v2(path_.c_str(), &db_, flags, vfs) != SQLITE_OK) fail("open");
+    if (sqlite3_open_v2(path_.c_str(), &db_, flags, vfs_) != SQLITE_OK) fail("open");
     run("PRAGMA locking_mode=EXCLUSIVE");  // two processes on one file would be one voter that votes twice
     run("PRAGMA journal_mode=WAL");
     run("PRAGMA synchronous=FULL");
@@ -100,15 +105,25 @@
     if (figure("format") != kFormat) throw StorageError(path_ + ": of another version");
     all.commit();
   } catch (...) {
-    sqlite3_close(db_);
+    sqlite3_close(std::exchange(db_, nullptr));
     throw;
   }
 }
 
+void Disk::reopen() {
+  sqlite3_close(std::exchange(db_, nullptr));
+  open();
+  Transaction all(*this);
+  set_figure("reopened", figure("reopened") + 1);
+  all.commit();
+}
+
 Disk::~Disk() { sqlite3_close(db_); }
 
 void Disk::fail(const char* what) {
-  throw StorageError(path_ + ": " + what + ": " + (db_ ? sqlite3_errmsg(db_) : "no memory"));
+  const int code = db_ ? sqlite3_extended_errcode(db_) : SQLITE_NOMEM;
+  throw StorageError(path_ + ": " + what + ": " + (db_ ? sqlite3_errmsg(db_) : "no memory"),
+                     code == SQLITE_FULL || code == SQLITE_IOERR_WRITE);
 }
 
 void Disk::run(const char* sql) {
--- a/src/register/disk.hpp
+++ b/src/register/disk.hpp
@@ -19,6 +19,8 @@
   // for tests of failing disks; null: the usual one. Throws StorageError.
   explicit Disk(const std::string& directory, const char* vfs = nullptr);
   ~Disk() override;
+  // After a failure: closed and opened again, and written to once. Throws StorageError if it fails still.
+  void reopen();
   Disk(const Disk&) = delete;
   Disk& operator=(const Disk&) = delete;
 
@@ -40,6 +42,7 @@
   class Statement;
   class Transaction;
 
+  void open();
   void run(const char* sql);
   Statement prepare(const char* sql);
   [[noreturn]] void fail(const char* what);
@@ -48,6 +51,7 @@
   std::uint64_t last_index();
 
   std::string path_;
+  const char* vfs_;
   sqlite3* db_ = nullptr;
 };
 
--- a/src/register/node.cpp
+++ b/src/register/node.cpp
@@ -216,17 +216,24 @@
     }
     return std::nullopt;
   }
-  // The same voter from its disk, without the entries from there on. Nothing if the disk fails at it.
-  std::unique_ptr<Impl> without(raft_index from) {
-    if (guarded([&] { storage_.truncate(from); }) != 0) return nullptr;
+  // The same voter as its disk has it. Throws StorageError.
+  std::unique_ptr<Impl> anew() {
     NodeSettings settings = settings_;
     settings.first_voters.clear();
+    auto fresh = std::make_unique<Impl>(std::move(settings), storage_, transport_, random_(), now_);
+    fresh->on_applied_ = on_applied_;
+    return fresh;
+  }
+  // Without the entries from there on. Nothing if the disk fails at it.
+  std::unique_ptr<Impl> without(raft_index from) {
     std::unique_ptr<Impl> fresh;
-    guarded(
-        [&] { fresh = std::make_unique<Impl>(std::move(settings), storage_, transport_, random_(), now_); });
-    if (fresh) fresh->on_applied_ = on_applied_;
+    guarded([&] {
+      storage_.truncate(from);
+      fresh = anew();
+    });
     return fresh;
   }
+  bool passes() const { return failed_ && passes_; }
 
   void propose(Time now, const std::vector<Command>& commands, std::vector<Done> done) {
     now_ = std::max(now_, now);
@@ -365,6 +372,7 @@
     } catch (const StorageError& error) {
       failure_ = error.what();
       failed_ = true;
+      passes_ = error.passes;
       return RAFT_IOERR;
     }
   }
@@ -669,6 +677,7 @@
   bool pumping_ = false;
   bool closed_ = false;
   bool failed_ = false;
+  bool passes_ = false;  // the failure may
   std::string failure_;
   std::map<raft_index, Proposal*> proposals_;  // by their first index
   std::function<void()> on_applied_;
@@ -696,6 +705,8 @@
 Node::Status Node::status() const { return impl_->status(); }
 bool Node::leads() const { return impl_->leads(); }
 bool Node::failed() const { return impl_->failed(); }
+bool Node::failure_may_pass() const { return impl_->passes(); }
+void Node::begin_anew() { impl_ = impl_->anew(); }
 const State& Node::state() const { return impl_->state(); }
 void Node::on_applied(std::function<void()> step) { impl_->on_applied(std::move(step)); }
 
--- a/src/register/node.hpp
+++ b/src/register/node.hpp
@@ -79,6 +79,10 @@
   bool leads() const;
   // The library's loss of the disk: it does nothing from then on.
   bool failed() const;
+  // It failed for want of room. Once the disk takes writes again, begin_anew() goes on with what is on it, as
+  // after a start of the process. Throws StorageError.
+  bool failure_may_pass() const;
+  void begin_anew();
   // As applied here; another voter may be further.
   const State& state() const;
   // Called after every command that was applied here.
--- a/src/register/storage.hpp
+++ b/src/register/storage.hpp
@@ -36,7 +36,11 @@
 
 // The disk is full, failing, torn or another's. A voter that meets it stops voting; nothing is guessed.
 struct StorageError : std::runtime_error {
-  using std::runtime_error::runtime_error;
+  explicit StorageError(const std::string& what, bool may_pass = false)
+      : std::runtime_error(what), passes(may_pass) {}
+  // There is no room: what is on the disk is sound, and it may be tried again. Not after a sync that failed:
+  // what is read back then need not be on the disk.
+  bool passes;
 };
 
 class Storage {
--- a/src/register/voter_server.cpp
+++ b/src/register/voter_server.cpp
@@ -16,6 +16,7 @@
 constexpr Duration kConnect = milliseconds(500);
 constexpr Duration kRetry = milliseconds(100);
 constexpr Duration kJoinAgain = milliseconds(1000);
+constexpr Duration kDiskAgain = milliseconds(2000);  // whether there is room on the disk
 
 std::uint64_t hash(std::string_view text, std::uint64_t from) {
   std::uint64_t value = from;
@@ -250,6 +251,7 @@
 void VoterServer::tick() {
   service_->tick(loop_.now());
   tell_changes();
+  if (node_->failure_may_pass() && loop_.now() >= disk_again_) recover();
   if (!node_->failed() && loop_.now() >= join_again_) {
     join_again_ = loop_.now() + kJoinAgain;
     // One that is cut off does not know whether it has its vote; asking is harmless.
@@ -262,9 +264,23 @@
   timer_ = loop_.at(loop_.now() + Node::kTick, [this] { tick(); });
 }
 
+void VoterServer::recover() {
+  disk_again_ = loop_.now() + kDiskAgain;
+  try {
+    disk_.reopen();
+    node_->begin_anew();
+    told_failed_ = false;
+    log_.line("register: the disk takes writes again: this voter goes on");
+  } catch (const std::runtime_error&) {
+    // Still full: told once, tried again.
+  }
+}
+
 void VoterServer::tell_changes() {
   if (node_->failed() && !std::exchange(told_failed_, true)) {
-    log_.line("register: the disk failed: this voter votes no more until it is started again");
+    disk_again_ = loop_.now() + kDiskAgain;
+    log_.line("register: the disk failed: this voter votes no more until %s",
+              node_->failure_may_pass() ? "there is room" : "it is started again");
   }
   const auto status = node_->status();
   if (status.leader_id == told_leader_ && status.term == told_term_) return;
--- a/src/register/voter_server.hpp
+++ b/src/register/voter_server.hpp
@@ -71,6 +71,7 @@
 
   bool take(Connection& from, const link::LinkMessage& message, std::string_view bytes);
   bool join(const Connection& from);
+  void recover();
   bool remove(const Connection& from, const link::LinkMessage& message);
   std::string status() const;
   void send_to(const std::string& name, std::string bytes);
@@ -92,6 +93,7 @@
   std::uint64_t last_client_ = 0;
   Loop::TimerId timer_ = 0;
   Time join_again_{};
+  Time disk_again_{};
   VoterId told_leader_ = 0;
   std::uint64_t told_term_ = 0;
   bool told_failed_ = false;
--- a/tests/duty_faults_test.cpp
+++ b/tests/duty_faults_test.cpp
@@ -100,8 +100,7 @@
   Peer gateway = Peer::connect(callers(first[0] - 'a'));
   gateway.say(binary(52, 7, {{208, std::string(1, 0)}}));
   hears(gateway, binary(53, 7).substr(2));
-  kill(first);
-  start_voter(first[0] - 'a');
+  empty_disk_of(first);  // there is room again: no restart is needed
   votes(first);
   more_work(20);
   EXPECT_EQ(holdings(), 1u);
--- a/tests/fleet_process.hpp
+++ b/tests/fleet_process.hpp
@@ -127,6 +127,10 @@
     const rlimit nothing{0, RLIM_INFINITY};
     ASSERT_EQ(::prlimit(children_.at(name), RLIMIT_FSIZE, &nothing, nullptr), 0);
   }
+  void empty_disk_of(const std::string& name) {
+    const rlimit any{RLIM_INFINITY, RLIM_INFINITY};
+    ASSERT_EQ(::prlimit(children_.at(name), RLIMIT_FSIZE, &any, nullptr), 0);
+  }
   bool stands(const std::string& name, const std::string& state) {
     return ask({"fleet", "status", "--json"}).find("\"voter\":\"" + name + "\",\"state\":\"" + state) !=
            std::string::npos;
