Read again: one look at what is over, one copy's reading, one walk through a list in parts

Found in the change: Expiry asked the same of sessions and of kept duties in two loops; CertificateStore chose between a key file and a record in three places and listed both kinds in two; the commands went through a list in parts twice; Ledger said one condition in two lines and had a size that nobody asked for. Change: Expiry::over, CertificateStore::copied and copy_of, each_item in cli/fleet.cpp. Behaviour is as it was.

--- a/src/cli/fleet.cpp
+++ b/src/cli/fleet.cpp
@@ -87,6 +87,22 @@
   return answers;
 }
 
+// Everything under the prefix, in parts; false: no voter answered as the leader.
+bool each_item(const fleet::FleetSettings& settings, std::string_view prefix,
+               const std::function<void(const reg::Item&)>& take) {
+  reg::Command command;
+  command.op = reg::Op::list;
+  command.name = prefix;
+  for (bool more = true; more;) {
+    const auto reply = ask(settings, command);
+    if (!reply) return false;
+    for (const reg::Item& item : reply->items) take(item);
+    more = reply->more;
+    if (more) command.value = reply->items.back().key;
+  }
+  return true;
+}
+
 int unreached() {
   std::fprintf(stderr, "no voter answered as the leader within %lld s\n",
                static_cast<long long>(kPatience / std::chrono::seconds(1)));
@@ -215,28 +231,19 @@
 }
 
 int FleetCommands::sessions(const fleet::FleetSettings& settings) {
-  reg::Command command;
-  command.op = reg::Op::list;
-  command.name = reg::kSessionPrefix;
   if (!json_) std::printf("%-24s %s\n", "controller", "incarnation");
-  for (bool more = true; more;) {
-    const auto reply = ask(settings, command);
-    if (!reply) return unreached();
-    for (const reg::Item& item : reply->items) {
-      const std::string key = item.key.substr(reg::kSessionPrefix.size());
-      const auto slash = key.rfind('/');
-      const std::string name = key.substr(0, slash), incarnation = key.substr(slash + 1);
-      if (json_) {
-        std::printf("{\"controller\":%s,\"incarnation\":%s,\"session\":%s}\n", in_quotes(name).c_str(),
-                    incarnation.c_str(), item.value.c_str());
-      } else {
-        std::printf("%-24s %s\n", name.c_str(), incarnation.c_str());
-      }
+  const bool reached = each_item(settings, reg::kSessionPrefix, [this](const reg::Item& item) {
+    const std::string key = item.key.substr(reg::kSessionPrefix.size());
+    const auto slash = key.rfind('/');
+    const std::string name = key.substr(0, slash), incarnation = key.substr(slash + 1);
+    if (json_) {
+      std::printf("{\"controller\":%s,\"incarnation\":%s,\"session\":%s}\n", in_quotes(name).c_str(),
+                  incarnation.c_str(), item.value.c_str());
+    } else {
+      std::printf("%-24s %s\n", name.c_str(), incarnation.c_str());
     }
-    more = reply->more;
-    if (more) command.value = reply->items.back().key;
-  }
-  return 0;
+  });
+  return reached ? 0 : unreached();
 }
 
 int FleetCommands::remove(const fleet::FleetSettings& settings) {
@@ -260,36 +267,28 @@
 }
 
 int FleetCommands::list(Logger&, const fleet::FleetSettings& settings) {
-  reg::Command command;
-  command.op = reg::Op::list;
-  command.name = reg::kDutyPrefix;
   std::size_t shown = 0;
   if (!json_) std::printf("%-24s %-16s %10s  %s\n", "duty", "holder", "token", "");
-  for (bool more = true; more;) {
-    const auto reply = ask(settings, command);
-    if (!reply) return unreached();
-    for (const reg::Item& item : reply->items) {
-      const std::string name = item.key.substr(reg::kDutyPrefix.size());
-      if (show_->parsed() && name != duty_name_) continue;
-      ++shown;
-      const reg::Duty duty = reg::parse_duty(item.value);
-      const std::string holder = duty.holder == 0 ? "" : duty.holder_name;
-      if (json_) {
-        std::printf(
-            "{\"duty\":%s,\"holder\":%s,\"token\":%llu,\"paused\":%s,\"kept_for\":%s,\"wanted\":%s}\n",
-            in_quotes(name).c_str(), in_quotes(holder).c_str(), static_cast<unsigned long long>(duty.token),
-            duty.paused ? "true" : "false", in_quotes(duty.reserved).c_str(), in_quotes(duty.wanted).c_str());
-        continue;
-      }
-      std::string notes = duty.paused ? "paused " : "";
-      if (!duty.reserved.empty()) notes += "kept for " + duty.reserved + " ";
-      if (!duty.wanted.empty()) notes += "wanted at " + duty.wanted;
-      std::printf("%-24s %-16s %10llu  %s\n", name.c_str(), holder.empty() ? "-" : holder.c_str(),
-                  static_cast<unsigned long long>(duty.token), notes.c_str());
+  const bool reached = each_item(settings, reg::kDutyPrefix, [&](const reg::Item& item) {
+    const std::string name = item.key.substr(reg::kDutyPrefix.size());
+    if (show_->parsed() && name != duty_name_) return;
+    ++shown;
+    const reg::Duty duty = reg::parse_duty(item.value);
+    const std::string holder = duty.holder == 0 ? "" : duty.holder_name;
+    if (json_) {
+      std::printf("{\"duty\":%s,\"holder\":%s,\"token\":%llu,\"paused\":%s,\"kept_for\":%s,\"wanted\":%s}\n",
+                  in_quotes(name).c_str(), in_quotes(holder).c_str(),
+                  static_cast<unsigned long long>(duty.token), duty.paused ? "true" : "false",
+                  in_quotes(duty.reserved).c_str(), in_quotes(duty.wanted).c_str());
+      return;
     }
-    more = reply->more;
-    if (more) command.value = reply->items.back().key;
-  }
+    std::string notes = duty.paused ? "paused " : "";
+    if (!duty.reserved.empty()) notes += "kept for " + duty.reserved + " ";
+    if (!duty.wanted.empty()) notes += "wanted at " + duty.wanted;
+    std::printf("%-24s %-16s %10llu  %s\n", name.c_str(), holder.empty() ? "-" : holder.c_str(),
+                static_cast<unsigned long long>(duty.token), notes.c_str());
+  });
+  if (!reached) return unreached();
   return show_->parsed() && shown == 0 ? 1 : 0;
 }
 
--- a/src/fleet/certificate_store.cpp
+++ b/src/fleet/certificate_store.cpp
@@ -105,26 +105,37 @@
   for (auto& [name, known] : known_) {
     if (there.count(name) == 0 && known.changed <= told.at) known = {told.at, 0};
   }
-  for (const char* const suffix : {".pem", ".json"}) {
-    for (const std::string& name : copy_.list("", suffix)) {
-      // A certificate in use is served until there is another.
-      if (there.count(name) > 0 || known_[name].stands != 0 || name.ends_with(".current.pem")) continue;
-      const bool passing = name.starts_with("challenge-") || name.find(".key-") != std::string::npos ||
-                           name.ends_with(".order.json");
-      if (passing) {
-        copy_.remove(name);
-      } else {
-        copy_.put_aside(name, "is not in the fleet's register");
-      }
+  for (const std::string& name : copied()) {
+    // A certificate in use is served until there is another.
+    if (there.count(name) > 0 || known_[name].stands != 0 || name.ends_with(".current.pem")) continue;
+    const bool passing = name.starts_with("challenge-") || name.find(".key-") != std::string::npos ||
+                         name.ends_with(".order.json");
+    if (passing) {
+      copy_.remove(name);
+    } else {
+      copy_.put_aside(name, "is not in the fleet's register");
     }
   }
 }
 
+std::vector<std::string> CertificateStore::copied() const {
+  auto names = copy_.list("", ".pem");
+  for (std::string& each : copy_.list("", ".json")) names.push_back(std::move(each));
+  return names;
+}
+
+std::optional<acme::Secret> CertificateStore::copy_of(const std::string& name) const {
+  if (is_pem(name)) return copy_.read_pem(name);
+  auto text = copy_.read(name);
+  return text ? std::optional<acme::Secret>(std::in_place, std::move(*text)) : std::nullopt;
+}
+
 void CertificateStore::take(const std::string& name, std::string_view text) {
+  const auto present = copy_of(name);
+  if (present && present->view() == text) return;
   if (is_pem(name)) {
-    const auto present = copy_.read_pem(name);
-    if (!present || present->view() != text) copy_.write_pem(name, acme::Secret(std::string(text)));
-  } else if (copy_.read(name) != text) {
+    copy_.write_pem(name, acme::Secret(std::string(text)));
+  } else {
     copy_.write(name, text);
   }
 }
@@ -160,15 +171,11 @@
 
 void CertificateStore::bring_in() {
   std::size_t brought = 0;
-  for (const char* const suffix : {".pem", ".json"}) {
-    for (const std::string& name : copy_.list("", suffix)) {
-      if (name.starts_with("challenge-")) continue;
-      const auto pem = is_pem(name) ? copy_.read_pem(name) : std::nullopt;
-      const auto text = is_pem(name) ? std::nullopt : copy_.read(name);
-      if (!pem && !text) continue;
-      put(name, pem ? pem->view() : std::string_view(*text));
-      ++brought;
-    }
+  for (const std::string& name : copied()) {
+    const auto text = name.starts_with("challenge-") ? std::nullopt : copy_of(name);
+    if (!text) continue;
+    put(name, text->view());
+    ++brought;
   }
   put(kBegun, "1");
   begun_ = true;
@@ -246,11 +253,9 @@
 
 // Here only. What the register has comes into the copy again, unless it is the same.
 void CertificateStore::put_aside(const std::string& name, const std::string& why) {
-  std::string content;
-  if (const auto pem = is_pem(name) ? copy_.read_pem(name) : std::nullopt) content = pem->text();
-  if (const auto text = is_pem(name) ? std::nullopt : copy_.read(name)) content = *text;
+  const auto content = copy_of(name);
   copy_.put_aside(name, why);
-  unusable_[name] = acme::sha256(content);
+  unusable_[name] = acme::sha256(content ? content->view() : std::string_view{});
   copy_lacks_ = true;
   sure_ = false;
 }
--- a/src/fleet/certificate_store.hpp
+++ b/src/fleet/certificate_store.hpp
@@ -69,6 +69,8 @@
   // To the register. Throws StateError, TurnLost.
   void change(reg::Command command);
   void put(const std::string& name, std::string_view text);
+  std::vector<std::string> copied() const;  // names
+  std::optional<acme::Secret> copy_of(const std::string& name) const;
   // Into the copy, if it differs.
   void take(const std::string& name, std::string_view text);
   void take_all(const Told& told);
--- a/src/gap/ledger.cpp
+++ b/src/gap/ledger.cpp
@@ -98,8 +98,7 @@
     const bool ours = state.own == each.entry;
     const bool superseded = state.own.has_value() && !ours;
     settle_own(state, false);
-    if (!same && !ours) news.push_back({each.id, each.entry, superseded});
-    if (same && superseded) news.push_back({each.id, each.entry, true});
+    if (!ours && (!same || superseded)) news.push_back({each.id, each.entry, superseded});
   }
   std::erase_if(
       states_, [](const auto& each) { return !each.second.listed && !each.second.own && !each.second.sent; });
--- a/src/gap/ledger.hpp
+++ b/src/gap/ledger.hpp
@@ -73,7 +73,6 @@
 
   bool agreed(const std::string& id) const;
   std::size_t waiting() const { return own_; }
-  std::size_t size() const { return states_.size(); }
 
   // For the one that keeps the list: what is to be taken out of it, Unix time `now`. An entry's time counts
   // from when it was first seen here as over.
--- a/src/register/expiry.cpp
+++ b/src/register/expiry.cpp
@@ -8,6 +8,14 @@
 
 }  // namespace
 
+// Nothing came since `count` was first seen, for so long; told once, and again after a while.
+bool Expiry::over(Seen& seen, Time now, std::uint64_t count, Duration after) {
+  if (seen.count != count) seen = {count, now, {}};
+  if (now - seen.at < after || (seen.proposed != Time{} && now - seen.proposed < kAgain)) return false;
+  seen.proposed = now;
+  return true;
+}
+
 std::vector<Command> Expiry::due(Time now, bool leads, const State& state) {
   // A new leader knows nothing of when others applied renewals: everybody has a full time to live from now.
   if (!leads || !led_) {
@@ -19,12 +27,7 @@
   if (!leads) return commands;
   std::erase_if(sessions_, [&](const auto& item) { return state.sessions().count(item.first) == 0; });
   for (const auto& [id, session] : state.sessions()) {
-    const auto [at, fresh] = sessions_.try_emplace(id, Seen{session.renewals, now, {}});
-    Seen& seen = at->second;
-    if (!fresh && seen.renewals != session.renewals) seen = {session.renewals, now, {}};
-    if (now - seen.at < std::chrono::milliseconds(session.ttl_ms)) continue;
-    if (seen.proposed != Time{} && now - seen.proposed < kAgain) continue;
-    seen.proposed = now;
+    if (!over(sessions_[id], now, session.renewals, std::chrono::milliseconds(session.ttl_ms))) continue;
     Command command;
     command.op = Op::expire;
     command.session = id;
@@ -37,10 +40,7 @@
   });
   for (const auto& [name, duty] : state.duties()) {
     if (duty.reserved.empty()) continue;
-    Seen& seen = reserved_.try_emplace(name, Seen{duty.token, now, {}}).first->second;
-    if (seen.renewals != duty.token) seen = {duty.token, now, {}};
-    if (now - seen.at < kReserved || (seen.proposed != Time{} && now - seen.proposed < kAgain)) continue;
-    seen.proposed = now;
+    if (!over(reserved_[name], now, duty.token, kReserved)) continue;
     Command command;
     command.op = Op::reserve_over;
     command.name = name;
--- a/src/register/node.hpp
+++ b/src/register/node.hpp
@@ -107,12 +107,13 @@
 
  private:
   struct Seen {
-    std::uint64_t renewals = 0;
+    std::optional<std::uint64_t> count{};  // none: not looked at yet
     Time at{};
     Time proposed{};
   };
+  static bool over(Seen& seen, Time now, std::uint64_t count, Duration after);
   std::map<SessionId, Seen> sessions_;
-  std::map<std::string, Seen> reserved_;  // by duty; `renewals` is the token
+  std::map<std::string, Seen> reserved_;  // by duty; the count is its token
   bool led_ = false;
 };
 
