Tests take no port twice: two parts of one story could be given the same one

A crash of the voter is not ruled out, since its log was gone with the directory.

Changed: a port is given once a process; the story waits for the third process's start, not for a connection that any of the three may have made; a story that fails prints the end of each process's log.

--- a/tests/duty_test.cpp
+++ b/tests/duty_test.cpp
@@ -160,6 +160,7 @@
   kill(voter(1));
   until([&] { return log_of("h1").find("event=ended") != std::string::npos; }, "the holder's end");
   const auto token = written().back().token;
+  serves("c");
   Peer server;
   until([&] { return static_cast<bool>(server = listener.accept()); }, "a connection to the setup server");
   Peer gateway = Peer::connect(callers(2));
--- a/tests/fleet_process.hpp
+++ b/tests/fleet_process.hpp
@@ -28,6 +28,7 @@
     for (int i = 0; i < kMostVoters; ++i) listen_[i] = free_address();
   }
   ~FleetProcess() override {
+    if (HasFailure()) tell_logs();
     for (const auto& [name, child] : children_) {
       ::kill(child, SIGCONT);
       ::kill(child, SIGTERM);  // holders end their programs; what does not is killed below
@@ -192,6 +193,16 @@
     if (code) *code = ended;
     return read_file(directory + "/asked");
   }
+  // What the processes said at the end, for whoever reads a failure in CI: the files are gone then.
+  void tell_logs() const {
+    for (const auto& entry : std::filesystem::directory_iterator(directory)) {
+      const std::string file = entry.path().filename();
+      if (!entry.is_regular_file() || file.size() < 4 || file.substr(file.size() - 4) != ".log") continue;
+      const std::string text = read_file(entry.path());
+      std::printf("---- %s\n%s\n", file.c_str(),
+                  text.substr(text.size() - std::min<std::size_t>(text.size(), 1500)).c_str());
+    }
+  }
   // By the voters' logs: the last that a voter told as leader, of those that run.
   std::string leader() {
     for (int i = 0; i < kMostVoters; ++i) {
--- a/tests/loopback.hpp
+++ b/tests/loopback.hpp
@@ -9,6 +9,7 @@
 #include <csignal>
 #include <cstdio>
 #include <functional>
+#include <set>
 #include <string>
 
 #include "core/planner.hpp"
@@ -23,12 +24,16 @@
 inline sockaddr_in any_port() { return *parse_address("127.0.0.1:0"); }
 
 // A port that is free and that nobody else takes before it is used: the loopback address is this process's
-// own.
+// own, and no port is given twice, although the kernel would as soon as the first is closed again.
 inline sockaddr_in free_address() {
+  static std::set<in_port_t> given;
   const int pid = ::getpid();
   const std::string host = "127." + std::to_string(64 + (pid >> 16 & 63)) + "." +
                            std::to_string(pid >> 8 & 255) + "." + std::to_string(pid & 255);
-  return bound_address(listen_on(*parse_address(host + ":0")));
+  for (;;) {
+    const sockaddr_in address = bound_address(listen_on(*parse_address(host + ":0")));
+    if (given.insert(address.sin_port).second) return address;
+  }
 }
 
 // A scripted peer's end of a connection, or a UDP socket.
