--- /dev/null
+++ b/standin/faults/skewed_clock.cpp
@@ -0,0 +1,61 @@
+// A clock that is wrong, for a process that the tests start: preloaded, it takes the place of the C library's
+// clock_gettime. QUARTZARCH_SKEW names a file of two numbers, which may change while the process runs:
+//
+//     int64  microseconds that the wall clock is ahead (behind, if negative)
+//     double the rate at which the steady clocks run; counted from the first look at them
+//
+// No file, or a short one: the clocks are right.
+#include <dlfcn.h>
+#include <fcntl.h>
+#include <sys/mman.h>
+#include <sys/stat.h>
+#include <sys/syscall.h>
+#include <unistd.h>
+
+#include <atomic>
+#include <cstdint>
+#include <cstdlib>
+#include <ctime>
+
+namespace {
+
+struct Skew {
+  std::atomic<std::int64_t> wall_us;
+  std::atomic<double> rate;
+};
+
+const Skew* skew() {
+  static const Skew* const mapped = []() -> const Skew* {
+    const char* const path = std::getenv("QUARTZARCH_SKEW");
+    const int fd = path ? ::open(path, O_RDONLY | O_CLOEXEC) : -1;
+    if (fd < 0) return nullptr;
+    struct stat file {};
+    void* at = MAP_FAILED;
+    if (::fstat(fd, &file) == 0 && file.st_size >= static_cast<off_t>(sizeof(Skew)))
+      at = ::mmap(nullptr, sizeof(Skew), PROT_READ, MAP_SHARED, fd, 0);
+    ::close(fd);
+    return at == MAP_FAILED ? nullptr : static_cast<const Skew*>(at);
+  }();
+  return mapped;
+}
+
+constexpr std::int64_t kSecond = 1'000'000'000;
+
+std::int64_t nanoseconds(const timespec& at) { return at.tv_sec * kSecond + at.tv_nsec; }
+timespec from_nanoseconds(std::int64_t ns) { return {ns / kSecond, ns % kSecond}; }
+
+}  // namespace
+
+extern "C" int clock_gettime(clockid_t clock, timespec* at) noexcept {
+  const long failed = ::syscall(SYS_clock_gettime, clock, at);
+  const Skew* const wrong = failed == 0 ? skew() : nullptr;
+  if (!wrong) return static_cast<int>(failed);
+  if (clock == CLOCK_REALTIME) {
+    *at = from_nanoseconds(nanoseconds(*at) + wrong->wall_us.load() * 1000);
+  } else if (clock == CLOCK_MONOTONIC || clock == CLOCK_BOOTTIME) {
+    static const std::int64_t began = nanoseconds(*at);
+    const auto passed = static_cast<double>(nanoseconds(*at) - began);
+    *at = from_nanoseconds(began + static_cast<std::int64_t>(passed * wrong->rate.load()));
+  }
+  return 0;
+}
--- a/tests/process.hpp
+++ b/tests/process.hpp
@@ -47,6 +47,7 @@
     const pid_t child = ::fork();
     if (child != 0) return child;
     std::signal(SIGXFSZ, SIG_IGN);  // a write beyond the limit fails, as on a full disk
+    for (const auto& [name, value] : environment) ::setenv(name.c_str(), value.c_str(), 1);
     ::setenv("NODE_CONFIG", (configuration.empty() ? directory + "/config.json" : configuration).c_str(), 1);
     ::freopen((directory + "/" + output).c_str(), "w", stderr);
     ::dup2(2, 1);
@@ -83,6 +84,7 @@
   }
 
   std::string directory;
+  std::vector<std::pair<std::string, std::string>> environment{};  // of what is spawned from now on
   sockaddr_in address{};
   Listener listener, coordinator;
   pid_t pid = 0;
