--- a/bench/duty.cpp
+++ b/bench/duty.cpp
@@ -1,11 +1,13 @@
 // Duties measured: what a walk of a fleet in virtual time shows, beside the same faults without fences and
 // with a lease counted naively; and what a write costs at 3 and 5 voters on real disks and loopback sockets.
+#include <sys/socket.h>
 #include <sys/wait.h>
 
 #include <algorithm>
 #include <chrono>
 #include <csignal>
 #include <cstdlib>
+#include <cstring>
 #include <filesystem>
 #include <fstream>
 #include <map>
@@ -18,6 +20,7 @@
 #include "net/stream.hpp"
 #include "register/client.hpp"
 #include "register/voter_server.hpp"
+#include "setup_server/setup_server.hpp"
 
 namespace quartzarch {
 namespace {
@@ -277,7 +280,7 @@
 
 // h1 holds, something happens to it, h2 takes up: from what happened until the first effect of h2.
 void hand_overs(Figures& figures, bool quick) {
-  const int rounds = quick ? 3 : 25;
+  const int rounds = quick ? 3 : 50;
   const Voters voters(3);
   std::uint64_t faults = 0, overlaps = 0;
   for (const char* const what : {"killed", "stopped", "cut", "in_order"}) {
@@ -321,6 +324,174 @@
   figures.add("process_overlaps", static_cast<double>(overlaps));
 }
 
+// ---- Calls beside elections
+
+pid_t spawn(const std::vector<std::string>& words, const std::string& configuration) {
+  std::vector<std::string> kept = words;
+  kept.insert(kept.begin(), QUARTZARCH_PROGRAM);
+  std::vector<char*> arguments;
+  for (std::string& word : kept) arguments.push_back(word.data());
+  arguments.push_back(nullptr);
+  const pid_t child = ::fork();
+  if (child != 0) return child;
+  ::setenv("NODE_CONFIG", configuration.c_str(), 1);
+  ::freopen(configuration.empty() ? "/dev/null" : (configuration + ".log").c_str(), "w", stderr);
+  ::dup2(2, 1);
+  ::execv(arguments[0], arguments.data());
+  ::_exit(127);
+}
+
+// One serving process each: three of a fleet, all voters, or three that know of none.
+class Serving {
+ public:
+  Serving(const std::string& directory, const sockaddr_in& setup_server, bool fleet) : directory_(directory) {
+    std::vector<sockaddr_in> voters;
+    for (int i = 0; i < 3; ++i) {
+      callers_.push_back(bound_address(listen_on(*parse_address("127.0.0.1:0"))));
+      voters.push_back(bound_address(listen_on(*parse_address("127.0.0.1:0"))));
+    }
+    for (int i = 0; i < 3; ++i) {
+      const std::string name = "n" + std::to_string(i);
+      std::ofstream(path(name, ".json"))
+          << R"({"name":")" << name << R"(","listen":")"
+          << address_text(callers_[static_cast<std::size_t>(i)])
+          << R"(","coordinator":"127.0.0.1:1","known":{"index":1,"updates":[{"index":1,"endpoints":{"whole":true,)"
+          << R"("hosts":[{"host":"a","dial":")" << address_text(setup_server)
+          << R"(","health":"in_service","block":0}]}}]},"settings":{"request_classes":[{"name":"voice",)"
+          << R"("aim":1500,"deadline":9000}],"limits":{"attempts_cap":6,"cancelling":true}}})";
+      std::vector<std::string> options;
+      if (fleet) {
+        std::ofstream file(path(name, ".toml"));
+        file << "directory = \"" << path(name, ".register") << "\"\n";
+        for (int v = 0; v < 3; ++v) {
+          file << "[[voter]]\nname = \"n" << v << "\"\naddress = \""
+               << address_text(voters[static_cast<std::size_t>(v)]) << "\"\n";
+        }
+        file.close();
+        int status = 0;
+        ::waitpid(spawn({"fleet", "init", "--fleet", path(name, ".toml"), "--name", name}, ""), &status, 0);
+        options = {"--fleet", path(name, ".toml")};
+      }
+      children_.push_back(spawn(options, path(name, ".json")));
+    }
+  }
+  ~Serving() {
+    // Not in order: each would wait for its callers to come back and hear that their calls have ended.
+    for (const pid_t child : children_) ::kill(child, SIGKILL);
+    for (const pid_t child : children_) ::waitpid(child, nullptr, 0);
+  }
+  // Leadership goes to another voter. False: nobody led, or the leader refused.
+  bool elect() const {
+    int status = 0;
+    ::waitpid(spawn({"fleet", "lead", "--fleet", path("n0", ".toml")}, ""), &status, 0);
+    return status == 0;
+  }
+  const std::vector<sockaddr_in>& callers() const { return callers_; }
+
+ private:
+  std::string path(const std::string& name, const char* what) const { return directory_ + "/" + name + what; }
+  std::string directory_;
+  std::vector<sockaddr_in> callers_;
+  std::vector<pid_t> children_;
+};
+
+std::string binary_call(std::uint64_t call) {
+  std::string body(1, '\1');
+  for (int shift = 56; shift >= 0; shift -= 8) body += static_cast<char>(call >> shift & 0xff);
+  const std::pair<int, const char*> parameters[] = {
+      {180, "voice"}, {182, "5000"}, {188, "7f3a9c21e0b4d655"}, {190, "dest:0;width:1;via:-1"}, {210, "d"}};
+  for (const auto& [code, value] : parameters) {
+    body += static_cast<char>(code);
+    body += '\0';
+    body += static_cast<char>(std::strlen(value));
+    body += value;
+  }
+  return std::string{static_cast<char>(body.size() >> 8), static_cast<char>(body.size() & 0xff)} + body;
+}
+
+// A connection to each process; one call after the other at a steady pace, from the request to the answer.
+class Caller {
+ public:
+  Caller(const std::vector<sockaddr_in>& to, std::uint64_t first_call) : calls_(first_call) {
+    for (const sockaddr_in& address : to) {
+      Fd& fd = fds_.emplace_back(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0));
+      const timeval patience{2, 0};
+      ::setsockopt(fd.get(), SOL_SOCKET, SO_RCVTIMEO, &patience, sizeof patience);
+      for (int i = 0; i < 2000; ++i) {
+        if (::connect(fd.get(), reinterpret_cast<const sockaddr*>(&address), sizeof address) == 0) break;
+        std::this_thread::sleep_for(milliseconds(5));
+      }
+    }
+  }
+  // False: it does not stand, or no answer came. What else comes on the connection (ends of earlier calls) is
+  // read over.
+  bool call(std::vector<double>& took) {
+    const Fd& fd = fds_[++calls_ % fds_.size()];
+    const std::string bytes = binary_call(calls_);
+    const Time began = steady_time();
+    if (::send(fd.get(), bytes.data(), bytes.size(), MSG_NOSIGNAL) < 0) return false;
+    for (;;) {
+      unsigned char head[2] = {};
+      if (::recv(fd.get(), head, sizeof head, MSG_WAITALL) != sizeof head) return false;
+      std::string body(static_cast<std::size_t>(head[0] << 8 | head[1]), '\0');
+      if (::recv(fd.get(), body.data(), body.size(), MSG_WAITALL) != static_cast<ssize_t>(body.size()))
+        return false;
+      if (body.compare(1, 8, bytes, 3, 8) != 0) continue;
+      took.push_back(ms(steady_time() - began));
+      return body[0] == 9;
+    }
+  }
+
+ private:
+  std::vector<Fd> fds_;
+  std::uint64_t calls_;
+};
+
+void calls_beside_elections(Figures& figures, bool quick) {
+  std::string pattern = (std::filesystem::temp_directory_path() / "bench-calls-XXXXXX").string();
+  const std::string directory = ::mkdtemp(pattern.data());
+  std::filesystem::create_directory(directory + "/without");
+  standin::SetupServer::Options options;
+  options.listen = *parse_address("127.0.0.1:0");
+  options.set_up_work = milliseconds(1);
+  standin::SetupServer server(options);
+  std::vector<double> with, without;
+  int failed = 0, elections = 0;
+  {
+    const Serving fleet(directory, server.address(), true),
+        alone(directory + "/without", server.address(), false);
+    Caller to_fleet(fleet.callers(), 1 << 24), to_alone(alone.callers(), 2 << 24);
+    std::vector<double> warm;
+    for (int i = 0; i < 100; ++i) failed += !to_fleet.call(warm) + !to_alone.call(warm);
+    std::atomic<bool> ending{false};
+    std::thread elector([&] {
+      while (!ending) {
+        elections += fleet.elect();
+        for (int i = 0; i < 20 && !ending; ++i) std::this_thread::sleep_for(milliseconds(100));
+      }
+    });
+    // In turn, call by call: what else the machine does meets both.
+    auto next = std::chrono::steady_clock::now();
+    for (int i = 0; i < (quick ? 2000 : 20000); ++i) {
+      failed += !to_fleet.call(with);
+      failed += !to_alone.call(without);
+      next += milliseconds(4);
+      std::this_thread::sleep_until(next);
+    }
+    ending = true;
+    elector.join();
+  }
+  std::filesystem::remove_all(directory);
+  figures.add("calls_p99_ratio", bench::percentile(with, 0.99) / bench::percentile(without, 0.99),
+              "a call at a voter of a fleet, an election every 2 s, over one without --fleet");
+  figures.add("calls_ms_p50", bench::percentile(with, 0.5));
+  figures.add("calls_ms_p99", bench::percentile(with, 0.99));
+  figures.add("calls_ms_p50_without", bench::percentile(without, 0.5));
+  figures.add("calls_ms_p99_without", bench::percentile(without, 0.99));
+  figures.add("calls_elections", elections);
+  figures.add("calls_failed", failed);
+}
+
 // ---- Beside it: the file lease, as certificates have it without a fleet
 
 // Two processes with one lease in a file; the holder writes its name and the time. `believes`: it looks
@@ -400,10 +571,16 @@
 int main(int argc, char** argv) {
   const bool quick = quartzarch::bench::quick(argc, argv);
   quartzarch::bench::Figures figures("duty");
-  quartzarch::walks(figures, quick);
-  quartzarch::large_fleet(figures, quick);
-  quartzarch::writes(figures, quick);
-  quartzarch::hand_overs(figures, quick);
-  quartzarch::file_leases(figures, quick);
+  // `bench_duty [--quick] [PART...]`: all of them, or those named.
+  const std::pair<const char*, void (*)(quartzarch::bench::Figures&, bool)> parts[] = {
+      {"walks", quartzarch::walks},          {"fleet", quartzarch::large_fleet},
+      {"writes", quartzarch::writes},        {"calls", quartzarch::calls_beside_elections},
+      {"handovers", quartzarch::hand_overs}, {"files", quartzarch::file_leases}};
+  const bool some = std::any_of(argv + 1, argv + argc, [](const char* word) { return word[0] != '-'; });
+  for (const auto& [name, part] : parts) {
+    const bool named = std::any_of(argv + 1, argv + argc,
+                                   [n = name](const char* word) { return std::strcmp(word, n) == 0; });
+    if (named || !some) part(figures, quick);
+  }
   figures.print_json();
 }
--- a/src/cli/command_line.cpp
+++ b/src/cli/command_line.cpp
@@ -11,6 +11,7 @@
 #include "config.hpp"
 #include "fleet/certificate_store.hpp"
 #include "fleet/gap_list.hpp"
+#include "logging/output.hpp"
 #include "operation.hpp"
 #include "serve.hpp"
 
@@ -41,6 +42,12 @@
   return {};
 }
 
+// The log's stream goes with the command.
+struct LogBack {
+  Logger& log;
+  ~LogBack() { log.write_to(stderr); }
+};
+
 std::string one_line(std::string text) {
   std::replace(text.begin(), text.end(), '\n', ' ');
   return text;
@@ -58,6 +65,8 @@
   Certs certs(app);
   Gap gap(app);
   FleetCommands fleet(app);
+  std::string log_file;
+  app.add_option("--log", log_file, "where the log goes and in which form (deploy/log.toml)");
   try {
     app.parse(argc, argv);
   } catch (const CLI::ParseError& error) {
@@ -65,6 +74,17 @@
     log.line("usage: %s (quartzarch --help tells more)", one_line(error.what()).c_str());
     return 2;
   }
+  std::optional<logging::Output> output;  // of the log, to the end
+  if (!log_file.empty()) {
+    try {
+      output.emplace(logging::parse_log(read_file(log_file)));
+    } catch (const ConfigError& error) {
+      log.line("configuration: %s: %s", log_file.c_str(), error.what());
+      return 2;
+    }
+    log.write_to(output->stream());
+  }
+  const LogBack back{log};
   if (certs.asked()) return certs.run(log);
   if (gap.asked()) return gap.run(log);
   if (fleet.asked()) return fleet.run(log);
--- a/src/fleet/settings.cpp
+++ b/src/fleet/settings.cpp
@@ -1,66 +1,15 @@
 #include "fleet/settings.hpp"
 
-#include <toml++/toml.h>
-
 #include <algorithm>
-#include <functional>
-#include <map>
-#include <set>
 
 #include "config.hpp"
-#include "net/stream.hpp"
+#include "settings_file.hpp"
 
 namespace quartzarch::fleet {
 namespace {
 
 using std::chrono::milliseconds;
-
-[[noreturn]] void fail(const toml::node& at, const std::string& key, const std::string& what) {
-  throw ConfigError("line " + std::to_string(at.source().begin.line) + ": \"" + key + "\" " + what);
-}
-
-std::int64_t number(const toml::node& node, const std::string& key, std::int64_t least, std::int64_t most) {
-  const auto value = node.value_exact<std::int64_t>();
-  if (!value || *value < least || *value > most) {
-    fail(node, key, "is no whole number within " + std::to_string(least) + " and " + std::to_string(most));
-  }
-  return *value;
-}
-
-std::string text(const toml::node& node, const std::string& key) {
-  const auto value = node.value_exact<std::string>();
-  if (!value || value->empty() || value->size() > 64) fail(node, key, "is no text of 1 to 64 characters");
-  return *value;
-}
-
-sockaddr_in address(const toml::node& node, const std::string& key) {
-  const auto parsed = parse_address(node.value_or(std::string()));
-  if (!parsed) fail(node, key, "is no address like \"10.0.0.1:7301\"");
-  return *parsed;
-}
-
-using Take = std::function<void(const toml::node& node, const std::string& key)>;
-
-// Every key of the table is taken by name; one that nobody takes, or that must be there and is not, is told.
-void take_all(const toml::table& table, const std::map<std::string, Take>& known,
-              const std::vector<std::string>& needed) {
-  for (const auto& [name, node] : table) {
-    const std::string key(name.str());
-    const auto found = known.find(key);
-    if (found == known.end()) fail(node, key, "is unknown");
-    found->second(node, key);
-  }
-  for (const std::string& key : needed) {
-    if (!table.contains(key)) fail(table, key, "is missing");
-  }
-}
-
-void each_table(const toml::node& node, const std::string& key,
-                const std::function<void(const toml::table&)>& take) {
-  const toml::array* const list = node.as_array();
-  if (!list || !list->is_array_of_tables()) fail(node, key, "is no list of tables: [[" + key + "]]");
-  for (const toml::node& entry : *list) take(*entry.as_table());
-}
+using namespace settings_file;
 
 }  // namespace
 
@@ -72,8 +21,7 @@
 
 FleetSettings parse_fleet(std::string_view source) {
   FleetSettings settings;
-  try {
-    const toml::table table = toml::parse(source);
+  read(source, [&](const toml::table& table) {
     const auto take_voter = [&](const toml::table& entry) {
       VoterAddress voter;
       take_all(
@@ -112,15 +60,9 @@
              {{"voter", [&](const toml::node& n, const std::string& k) { each_table(n, k, take_voter); }},
               {"duty", [&](const toml::node& n, const std::string& k) { each_table(n, k, take_duty); }},
               {"directory",
-               [&](const toml::node& n, const std::string& k) {
-                 settings.directory = n.value_or(std::string());
-                 if (settings.directory.empty()) fail(n, k, "is no text");
-               }},
+               [&](const toml::node& n, const std::string& k) { settings.directory = text(n, k, 4096); }},
               {"secret_file",
-               [&](const toml::node& n, const std::string& k) {
-                 settings.secret_file = n.value_or(std::string());
-                 if (settings.secret_file.empty()) fail(n, k, "is no text");
-               }},
+               [&](const toml::node& n, const std::string& k) { settings.secret_file = text(n, k, 4096); }},
               {"listen", [&](const toml::node& n, const std::string& k) { settings.listen = address(n, k); }},
               {"lease_ms", ms(settings.ttl, 500, 60000)},
               {"election_ms", ms(settings.election, 100, 10000)},
@@ -139,10 +81,7 @@
     if (settings.voters.size() != 3 && settings.voters.size() != 5) wrong("voter", "is there 3 or 5 times");
     if (settings.heartbeat * 3 > settings.election) wrong("heartbeat_ms", "is over a third of election_ms");
     if (settings.ending * 3 > settings.ttl) wrong("ending_ms", "is over a third of lease_ms");
-  } catch (const toml::parse_error& error) {
-    throw ConfigError("line " + std::to_string(error.source().begin.line) +
-                      ": no TOML: " + std::string(error.description()));
-  }
+  });
   return settings;
 }
 
--- a/src/log.hpp
+++ b/src/log.hpp
@@ -13,6 +13,11 @@
  public:
   explicit Logger(std::FILE* to = stderr) : to_(to) {}
 
+  // Lines go there from now on.
+  void write_to(std::FILE* to) {
+    const std::lock_guard lock(mutex_);
+    to_ = to;
+  }
   // One line. What exceeds the rate is dropped and counted; the count goes out with the next line.
   void line(const char* format, ...) __attribute__((format(printf, 2, 3)));
 
--- /dev/null
+++ b/src/logging/output.cpp
@@ -0,0 +1,66 @@
+#include "logging/output.hpp"
+
+#include <spdlog/sinks/rotating_file_sink.h>
+#include <spdlog/sinks/stdout_sinks.h>
+#include <spdlog/spdlog.h>
+
+#include <string>
+
+#include "config.hpp"
+#include "logging/structured.hpp"
+
+namespace quartzarch::logging {
+
+struct Output::Sink {
+  explicit Sink(const Settings& settings) : json(settings.json) {
+    spdlog::sink_ptr to;
+    if (settings.file.empty()) {
+      to = std::make_shared<spdlog::sinks::stderr_sink_mt>();
+    } else {
+      to = std::make_shared<spdlog::sinks::rotating_file_sink_mt>(settings.file, settings.max_bytes,
+                                                                  settings.files);
+    }
+    logger = std::make_unique<spdlog::logger>("quartzarch", to);
+    logger->set_pattern("%v");
+    logger->flush_on(spdlog::level::info);
+    // A disk that is full is no reason to say anything more.
+    logger->set_error_handler([](const std::string&) {});
+  }
+  // Whole lines, as Logger flushes each; a part of one waits for the rest.
+  void take(std::string_view bytes) {
+    rest += bytes;
+    std::size_t begin = 0;
+    for (std::size_t end; (end = rest.find('\n', begin)) != std::string::npos; begin = end + 1) {
+      const std::string_view line(rest.data() + begin, end - begin);
+      if (json) {
+        logger->info("{}", structured(line));
+      } else {
+        logger->info("{}", line);
+      }
+    }
+    rest.erase(0, begin);
+  }
+
+  bool json;
+  std::unique_ptr<spdlog::logger> logger;
+  std::string rest;
+};
+
+Output::Output(const Settings& settings) {
+  try {
+    sink_ = std::make_unique<Sink>(settings);
+  } catch (const spdlog::spdlog_ex& error) {
+    throw ConfigError(std::string("\"file\" ") + error.what());
+  }
+  cookie_io_functions_t io{};
+  io.write = [](void* sink, const char* bytes, std::size_t size) {
+    static_cast<Sink*>(sink)->take({bytes, size});
+    return static_cast<ssize_t>(size);
+  };
+  stream_ = ::fopencookie(sink_.get(), "w", io);
+  if (!stream_) throw ConfigError("no memory for the log's stream");
+}
+
+Output::~Output() { std::fclose(stream_); }
+
+}  // namespace quartzarch::logging
--- /dev/null
+++ b/src/logging/structured.cpp
@@ -0,0 +1,97 @@
+#include "logging/structured.hpp"
+
+#include <algorithm>
+#include <charconv>
+#include <ctime>
+#include <optional>
+#include <vector>
+
+#include "json_text.hpp"
+
+namespace quartzarch::logging {
+namespace {
+
+struct Pair {
+  std::string_view key{}, value{};
+  bool quoted = false;
+};
+
+bool name_letter(char c) { return (c >= 'a' && c <= 'z') || (c >= '0' && c <= '9') || c == '_'; }
+
+// Nothing if anything in it is no pair.
+std::optional<std::vector<Pair>> pairs(std::string_view text) {
+  std::vector<Pair> found;
+  while (!text.empty()) {
+    const auto equals = text.find('=');
+    if (equals == 0 || equals == std::string_view::npos) return std::nullopt;
+    Pair pair{text.substr(0, equals)};
+    if (!std::all_of(pair.key.begin(), pair.key.end(), name_letter) || pair.key == "time")
+      return std::nullopt;
+    text.remove_prefix(equals + 1);
+    pair.quoted = !text.empty() && text.front() == '"';
+    if (pair.quoted) text.remove_prefix(1);
+    const auto end = std::min(text.find(pair.quoted ? '"' : ' '), text.size());
+    if (pair.quoted && end == text.size()) return std::nullopt;
+    pair.value = text.substr(0, end);
+    text.remove_prefix(end + (pair.quoted ? 1 : 0));
+    if (!text.empty() && text.front() != ' ') return std::nullopt;
+    if (!text.empty()) text.remove_prefix(1);
+    if (std::any_of(found.begin(), found.end(), [&](const Pair& p) { return p.key == pair.key; }))
+      return std::nullopt;
+    found.push_back(pair);
+  }
+  return found;
+}
+
+bool whole_number(std::string_view text) {
+  std::int64_t value = 0;
+  const auto end = text.data() + text.size();
+  const bool zeros = text.size() > 1 && (text[0] == '0' || (text[0] == '-' && text[1] == '0'));
+  return !zeros && std::from_chars(text.data(), end, value).ptr == end && !text.empty();
+}
+
+// "1796171125.837 what" -> the time as text, and what was said.
+std::string time_off(std::string_view& line) {
+  std::time_t seconds = 0;
+  const auto [dot, error] = std::from_chars(line.data(), line.data() + line.size(), seconds);
+  const auto at = static_cast<std::size_t>(dot - line.data());
+  if (error != std::errc{} || line.size() < at + 5 || line[at] != '.' || line[at + 4] != ' ') return {};
+  std::tm utc{};
+  ::gmtime_r(&seconds, &utc);
+  char text[32];
+  const std::size_t length = std::strftime(text, sizeof text, "%Y-%m-%dT%H:%M:%S", &utc);
+  std::string time(text, length);
+  time += line.substr(at, 4);
+  line.remove_prefix(at + 5);
+  return time + "Z";
+}
+
+}  // namespace
+
+std::string structured(std::string_view line) {
+  const std::string time = time_off(line);
+  std::string out = "{";
+  const auto add = [&](std::string_view key, const std::string& value) {
+    if (out.size() > 1) out += ',';
+    out += in_quotes(key) + ":" + value;
+  };
+  if (!time.empty()) add("time", in_quotes(time));
+  if (const auto fields = pairs(line); fields && !fields->empty()) {
+    for (const Pair& pair : *fields) {
+      add(pair.key,
+          !pair.quoted && whole_number(pair.value) ? std::string(pair.value) : in_quotes(pair.value));
+    }
+    return out + "}";
+  }
+  const auto colon = line.find(": ");
+  const std::string_view part = line.substr(0, std::min(colon, line.size()));
+  if (colon != std::string_view::npos && !part.empty() &&
+      std::all_of(part.begin(), part.end(), name_letter)) {
+    add("part", in_quotes(part));
+    line.remove_prefix(colon + 2);
+  }
+  add("text", in_quotes(line));
+  return out + "}";
+}
+
+}  // namespace quartzarch::logging
--- a/src/operation.cpp
+++ b/src/operation.cpp
@@ -2,7 +2,6 @@
 
 #include <fcntl.h>
 #include <sys/stat.h>
-#include <toml++/toml.h>
 
 #include <cerrno>
 #include <cstring>
@@ -11,6 +10,7 @@
 
 #include "config.hpp"
 #include "json_text.hpp"
+#include "settings_file.hpp"
 
 namespace quartzarch {
 namespace {
@@ -45,55 +45,41 @@
 
 }  // namespace
 
-ControlSettings parse_control(std::string_view text) {
+ControlSettings parse_control(std::string_view source) {
+  using namespace settings_file;
   ControlSettings settings;
-  try {
-    const toml::table table = toml::parse(text);
-    const auto fail = [&](const toml::node& at, const std::string& key, const std::string& what) {
-      throw ConfigError("line " + std::to_string(at.source().begin.line) + ": \"" + key + "\" " + what);
-    };
-    const auto number = [&](const toml::node& node, const std::string& key, std::int64_t least,
-                            std::int64_t most) {
-      const auto value = node.value_exact<std::int64_t>();
-      if (!value || *value < least || *value > most) {
-        fail(node, key,
-             "is no whole number within " + std::to_string(least) + " and " + std::to_string(most));
-      }
-      return *value;
-    };
-    std::set<std::string> seen;
-    for (const auto& [name, node] : table) {
-      const std::string key(name.str());
-      seen.insert(key);
-      if (key == "listen") {
-        const auto address = parse_address(node.value_or(std::string()));
-        if (!address || ntohl(address->sin_addr.s_addr) >> 24 != 127)
-          fail(node, key, "is no loopback address");
-        settings.listen = *address;
-      } else if (key == "directory") {
-        settings.directory = node.value_or(std::string());
-        if (settings.directory.empty()) fail(node, key, "is no text");
-      } else if (key == "longest_wait_ms") {
-        settings.gaps.longest_wait = std::chrono::milliseconds(number(node, key, 1, 3600000));
-      } else if (key == "grace_ms") {
-        settings.gaps.grace = std::chrono::milliseconds(number(node, key, 1, 60000));
-      } else if (key == "slots") {
-        settings.gaps.slots = static_cast<std::size_t>(number(node, key, 0, 10000000));
-      } else if (key == "counters") {
-        settings.sketch.counters = static_cast<std::size_t>(number(node, key, 1, 100000));
-      } else if (key == "pane_s") {
-        settings.sketch.pane = std::chrono::seconds(number(node, key, 1, 3600));
-      } else {
-        fail(node, key, "is unknown");
-      }
-    }
-    for (const char* const key : {"listen", "directory"}) {
-      if (seen.count(key) == 0) fail(table, key, "is missing");
-    }
-  } catch (const toml::parse_error& error) {
-    throw ConfigError("line " + std::to_string(error.source().begin.line) +
-                      ": no TOML: " + std::string(error.description()));
-  }
+  read(source, [&](const toml::table& table) {
+    take_all(table,
+             {{"listen",
+               [&](const toml::node& n, const std::string& k) {
+                 settings.listen = address(n, k);
+                 if (ntohl(settings.listen.sin_addr.s_addr) >> 24 != 127)
+                   fail(n, k, "is no loopback address");
+               }},
+              {"directory",
+               [&](const toml::node& n, const std::string& k) { settings.directory = text(n, k, 4096); }},
+              {"longest_wait_ms",
+               [&](const toml::node& n, const std::string& k) {
+                 settings.gaps.longest_wait = std::chrono::milliseconds(number(n, k, 1, 3600000));
+               }},
+              {"grace_ms",
+               [&](const toml::node& n, const std::string& k) {
+                 settings.gaps.grace = std::chrono::milliseconds(number(n, k, 1, 60000));
+               }},
+              {"slots",
+               [&](const toml::node& n, const std::string& k) {
+                 settings.gaps.slots = static_cast<std::size_t>(number(n, k, 0, 10000000));
+               }},
+              {"counters",
+               [&](const toml::node& n, const std::string& k) {
+                 settings.sketch.counters = static_cast<std::size_t>(number(n, k, 1, 100000));
+               }},
+              {"pane_s",
+               [&](const toml::node& n, const std::string& k) {
+                 settings.sketch.pane = std::chrono::seconds(number(n, k, 1, 3600));
+               }}},
+             {"listen", "directory"});
+  });
   return settings;
 }
 
