A stop waits no longer for callers that cannot come: ends of calls nobody is there to hear

Cause: BinaryFront::idle() waits while ends of calls wait for a caller (homeless_); once the process listens no more and has no connection none can come. Checked: Process.AnEndThatNobodyIsThereToHear... fails without the change (its exit never comes) and passes in 0.8 s with it.

--- a/src/front/binary.cpp
+++ b/src/front/binary.cpp
@@ -186,7 +186,10 @@
 }
 
 bool BinaryFront::idle() const {
-  return homeless_.empty() && std::all_of(connections_.begin(), connections_.end(), [](const auto& item) {
+  // The end of a call whose caller is gone waits for one to come; once this listens no more none will.
+  const bool none_will_come = !acceptor_.fd() && connections_.empty();
+  return (homeless_.empty() || none_will_come) &&
+         std::all_of(connections_.begin(), connections_.end(), [](const auto& item) {
            return item.second.open.empty() && item.second.stream->unsent().empty();
          });
 }
--- a/tests/duty_test.cpp
+++ b/tests/duty_test.cpp
@@ -185,7 +185,9 @@
         Defect{"reads_aside",
                [](WorldSettings& w) { w.defects.reads_aside = true, w.judges_history_alone = true; }},
         Defect{"open_renews_nothing",
-               [](WorldSettings& w) { w.defects.open_renews_nothing = true, w.late = 0.06; }}),
+               [](WorldSettings& w) {
+                 w.defects.open_renews_nothing = true, w.late = 0.06, w.ttl = milliseconds(800);
+               }}),
     [](const auto& each) { return std::string(each.param.name); });
 
 // ---- Several processes of the program, with faults between them
--- a/tests/process_test.cpp
+++ b/tests/process_test.cpp
@@ -28,6 +28,29 @@
       << "a call that stands was cut by the stop";
 }
 
+// A call stands, its caller goes, and then the call ends: nobody is there to hear of it, and nobody will be.
+TEST_F(Process, AnEndThatNobodyIsThereToHearKeepsNoStopWaiting) {
+  start(config());
+  Peer server;
+  until([&] { return static_cast<bool>(server = listener.accept()); }, "its connection");
+  serves();
+  Peer gateway = Peer::connect(address);
+  gateway.say(setup(0xaa, "d"));
+  hears(server, "00000000000000aa");
+  server.say("{\"op\":\"accept\",\"call\":\"00000000000000aa\",\"with\":{},\"desc\":\"s\"}\n");
+  hears(gateway, binary(9, 0xaa, {{210, "s"}}));
+  gateway.close();
+  // The next caller to be seen would have been told of it: this one is not, and goes too.
+  server.say("{\"op\":\"end\",\"call\":\"00000000000000aa\",\"with\":{},\"why\":1}\n");
+  server.close();
+  until([&] { return log().find("connection closed, 0 set-ups out") != std::string::npos; }, "the end taken");
+  ::kill(pid, SIGTERM);
+  int status = -1;
+  until([&] { return ::waitpid(pid, &status, WNOHANG) == pid; }, "its exit");
+  pid = 0;
+  EXPECT_TRUE(WIFEXITED(status) && WEXITSTATUS(status) == 0);
+}
+
 // SIGHUP under load: a bad file is one line and changes nothing; a good one moves the news to the
 // coordinator's new address, where the numbers go on, and the call under way is answered on its old
 // connection.
