--- a/tests/health_test.cpp
+++ b/tests/health_test.cpp
@@ -5,154 +5,18 @@
 
 #include <gtest/gtest.h>
 
-#include <algorithm>
-#include <optional>
-#include <random>
-#include <utility>
+#include <cmath>
+
+#include "health/laboratory.hpp"
+#include "health/repeats.hpp"
 
 namespace quartzarch::test {
 namespace {
 
 using health::Grade;
-using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-struct Caller {
-  double share = 1;   // of all calls
-  double broken = 0;  // of its calls nobody can make anything
-};
-
-class Laboratory {
- public:
-  explicit Laboratory(unsigned servers, std::uint64_t seed = 1) : random_(seed) {
-    for (unsigned i = 0; i < servers; ++i) {
-      listed_.push_back({id(i), 1, {}});
-      fails_.emplace_back();
-    }
-    health_.listed(now_, listed_);
-  }
-  static ServerId id(unsigned number) {
-    return {{10, 0, static_cast<std::uint8_t>(number >> 8), static_cast<std::uint8_t>(number)}, 5060};
-  }
-
-  // What a server fails, by class; -1: of all classes.
-  void fails(unsigned server, double share, int call_class = -1) { fails_[server][call_class] = share; }
-  std::vector<Caller> callers = {{1, 0}, {1, 0}, {1, 0}, {1, 0}};
-  std::vector<health::Listed> listed() const { return listed_; }
-  double calls_a_second = 100;
-  unsigned attempts = 3;
-  unsigned classes = 2;
-
-  // Until `length` has passed, or at the first moment where it holds; how long that took.
-  template <typename Holds>
-  Duration run(Duration length, const Holds& holds) {
-    const Time began = now_;
-    while (now_ < began + length) {
-      const auto gap = std::exponential_distribution<double>(calls_a_second)(random_);
-      now_ += Duration{static_cast<Duration::rep>(gap * 1e6)};
-      while (now_ >= next_review_) review();
-      call();
-      if (holds()) break;
-    }
-    return now_ - began;
-  }
-  Duration run(Duration length) {
-    return run(length, [] { return false; });
-  }
-  bool avoided(unsigned server) const { return verdict(server).grade == Grade::avoided; }
-  health::Verdict verdict(unsigned server) const {
-    for (const auto& each : health_.verdicts()) {
-      if (each.server == id(server)) return each;
-    }
-    return {};
-  }
-  // Share of the servers' time for which good ones got less than their share.
-  double false_avoid() const { return good_time_ == 0 ? 0 : good_kept_away_ / good_time_; }
-  // Share of the sound calls that stood, and attempts a call, since the last look.
-  double stood() {
-    return static_cast<double>(std::exchange(stood_, 0)) / static_cast<double>(std::exchange(sound_, 0));
-  }
-  std::uint64_t most_avoided() const { return most_avoided_; }
-  health::Health& health() { return health_; }
-  Time now() const { return now_; }
-  void list(std::vector<health::Listed> servers) {
-    listed_ = std::move(servers);
-    health_.listed(now_, listed_);
-  }
-
- private:
-  using Listed = health::Listed;
-  double chance() { return std::uniform_real_distribution<double>(0, 1)(random_); }
-  double fail_share(unsigned server, unsigned call_class) const {
-    const auto& of = fails_[server];
-    const auto one = of.find(static_cast<int>(call_class));
-    if (one != of.end()) return one->second;
-    const auto all = of.find(-1);
-    return all == of.end() ? 0 : all->second;
-  }
-  void review() {
-    next_review_ += milliseconds(250);
-    health_.review(now_);
-    std::uint64_t out = 0;
-    for (unsigned i = 0; i < listed_.size(); ++i) {
-      out += health_.weight(id(i), 0) == 0 || health_.weight(id(i), 1) == 0;
-      if (!fails_[i].empty()) continue;
-      good_time_ += classes;
-      for (unsigned c = 0; c < classes; ++c) good_kept_away_ += 1 - health_.weight(id(i), c);
-    }
-    most_avoided_ = std::max(most_avoided_, out);
-  }
-  // As the decision module may: by weight, one on trial first if it may have the call, never twice the same.
-  std::optional<unsigned> route(unsigned call_class, const std::vector<unsigned>& tried) {
-    std::vector<double> weights;
-    double all = 0;
-    for (unsigned i = 0; i < listed_.size(); ++i) {
-      const bool again = std::find(tried.begin(), tried.end(), i) != tried.end();
-      if (!again && tried.empty() && health_.may_try(now_, id(i), call_class)) return i;
-      weights.push_back(again ? 0 : health_.weight(id(i), call_class));
-      all += weights.back();
-    }
-    if (all == 0) return std::nullopt;
-    double at = chance() * all;
-    for (unsigned i = 0; i < weights.size(); ++i) {
-      if ((at -= weights[i]) < 0) return i;
-    }
-    return std::nullopt;
-  }
-  void call() {
-    double all = 0;
-    for (const Caller& each : callers) all += each.share;
-    double at = chance() * all;
-    std::uint64_t caller = 0;
-    while (caller + 1 < callers.size() && (at -= callers[caller].share) >= 0) ++caller;
-    const bool broken = chance() < callers[caller].broken;
-    const auto call_class = static_cast<unsigned>(random_() % classes);
-    const CallId call = ++last_call_;
-    sound_ += !broken;
-    std::vector<unsigned> tried;
-    while (tried.size() < attempts) {
-      const auto server = route(call_class, tried);
-      if (!server) break;
-      tried.push_back(*server);
-      health_.sent(now_, call, id(*server), call_class, caller);
-      if (!broken && chance() >= fail_share(*server, call_class)) {
-        ++stood_;
-        return health_.stood(now_, call);
-      }
-      health_.made_nothing(now_, call);
-    }
-    health_.ended(now_, call);
-  }
-
-  std::mt19937_64 random_;
-  health::Health health_{health::Settings{}};
-  std::vector<Listed> listed_;
-  std::vector<std::map<int, double>> fails_;
-  Time now_ = seconds(1), next_review_ = seconds(1);
-  CallId last_call_ = 0;
-  double good_time_ = 0, good_kept_away_ = 0;
-  std::uint64_t sound_ = 0, stood_ = 0, most_avoided_ = 0;
-};
+using standin::Laboratory;
 
 constexpr double kFalse = 0.01;  // of a good server's share
 
@@ -277,6 +141,37 @@
   EXPECT_LT(lab.false_avoid(), kFalse);
 }
 
+// ---- Repeats
+
+using health::Repeats;
+
+TEST(Repeats, AreAShareOfFirstAttemptsWhateverIsAskedFor) {
+  Repeats repeats{Repeats::Settings{}};
+  Time now = seconds(1);
+  unsigned first = 0, again = 0;
+  for (int i = 0; i < 10000; ++i) {
+    now += std::chrono::milliseconds(10);
+    repeats.first_sent(now);
+    ++first;
+    for (int ask = 0; ask < 3; ++ask)
+      again += repeats.take(now, {0.9, 1, 1, 0.2});  // all of them fail, and ask
+  }
+  EXPECT_LE(again, first / 5 + 2 * 100 + 20) << "a fifth, two a second, and what was saved up";
+  EXPECT_GE(again, first / 5);
+}
+
+TEST(Repeats, OneIsNotMadeThatCostsMoreThanItMayBring) {
+  Repeats repeats{Repeats::Settings{}};
+  const Time now = seconds(100);
+  for (int i = 0; i < 100; ++i) repeats.first_sent(now);
+  EXPECT_TRUE(repeats.take(now, {0.9, 1, 1, 0.5}));
+  EXPECT_FALSE(repeats.take(now, {0.1, 1, 1, 0.5})) << "it will hardly stand in time";
+  EXPECT_FALSE(repeats.take(now, {0.9, 0.1, 1, 0.5})) << "late, it is worth little";
+  EXPECT_TRUE(repeats.take(now, {0.1, 1, 1, 0})) << "at an idle server work costs nothing";
+  EXPECT_NEAR(Repeats::chance(0.25, seconds(2), seconds(2)), 0.75 * (1 - std::exp(-1)), 1e-9);
+  EXPECT_EQ(Repeats::chance(0, seconds(1), Duration{0}), 0) << "no time is left";
+}
+
 }  // namespace
 }  // namespace quartzarch::test
 
