--- a/bench/duty.cpp
+++ b/bench/duty.cpp
@@ -51,7 +51,7 @@
     settings.resource_takes_all = true;
     no_fence += !faults::walk(settings).fault.empty();
     settings.resource_takes_all = false;
-    settings.counts_from_answer = true;
+    settings.counts_from_answer = settings.stops_only = true;
     naive_lease += !faults::walk(settings).fault.empty();
   }
   figures.add("walks", static_cast<double>(count),
--- a/src/fleet/membership.cpp
+++ b/src/fleet/membership.cpp
@@ -16,7 +16,7 @@
 constexpr Duration kLeaving = std::chrono::milliseconds(1000);
 constexpr Duration kPass = std::chrono::milliseconds(500);
 // And for another voter to lead; it is asked again meanwhile.
-constexpr Duration kResigning = std::chrono::milliseconds(500);
+constexpr Duration kResigning = std::chrono::milliseconds(1000);
 constexpr Duration kResignAgain = std::chrono::milliseconds(50);
 // Without a word from the work of the program's own duties, unless the file has another time.
 constexpr Duration kOwnProgress = std::chrono::seconds(120);
