Read again: one look-up of a voter, one spawn in the bench, the log's stream given back in one place

Read over the whole change; behaviour and assertions stay as they are. - Node found a voter by its identity in four ways: entry_of() serves them all. - bench_duty started processes in two ways: spawn() serves both. - more_work() stood in two test files and in the open in a third: FleetProcess has it. - Output gives the log's stream back itself; command_line.cpp needs no guard object for it. - Health: who may be followed as a caller is asked in one place, and the usual share of failures, the same for all classes of a server, is computed once a look and not once a class.

--- a/bench/duty.cpp
+++ b/bench/duty.cpp
@@ -191,6 +191,22 @@
   std::int64_t at_us = 0;
 };
 
+// Standard error goes beside the configuration's file, or nowhere.
+pid_t spawn(const std::vector<std::string>& words, const std::string& configuration) {
+  std::vector<std::string> kept = words;
+  kept.insert(kept.begin(), QUARTZARCH_PROGRAM);
+  std::vector<char*> arguments;
+  for (std::string& word : kept) arguments.push_back(word.data());
+  arguments.push_back(nullptr);
+  const pid_t child = ::fork();
+  if (child != 0) return child;
+  ::setenv("NODE_CONFIG", configuration.c_str(), 1);
+  ::freopen(configuration.empty() ? "/dev/null" : (configuration + ".log").c_str(), "w", stderr);
+  ::dup2(2, 1);
+  ::execv(arguments[0], arguments.data());
+  ::_exit(127);
+}
+
 // Holders of one duty as processes, each with a relay of its own to every voter. What they hold writes the
 // token and the time into one file, again and again.
 class Holders {
@@ -221,28 +237,9 @@
   void start(const std::string& name) {
     const std::string script =
         "while :; do echo $QUARTZARCH_TOKEN $(date +%s%6N) >> " + directory_ + "/effects; sleep 0.005; done";
-    std::vector<std::string> words = {QUARTZARCH_PROGRAM,
-                                      "duty",
-                                      "hold",
-                                      "work",
-                                      "--name",
-                                      name,
-                                      "--fleet",
-                                      directory_ + "/" + name + ".toml",
-                                      "--",
-                                      "/bin/sh",
-                                      "-c",
-                                      script};
-    std::vector<char*> arguments;
-    for (std::string& word : words) arguments.push_back(word.data());
-    arguments.push_back(nullptr);
-    const pid_t child = ::fork();
-    if (child == 0) {
-      ::freopen("/dev/null", "w", stderr);
-      ::execv(arguments[0], arguments.data());
-      ::_exit(127);
-    }
-    children_[name] = child;
+    children_[name] = spawn({"duty", "hold", "work", "--name", name, "--fleet",
+                             directory_ + "/" + name + ".toml", "--", "/bin/sh", "-c", script},
+                            "");
   }
   void signal(const std::string& name, int number) { ::kill(children_.at(name), number); }
   void end(const std::string& name, int number) {
@@ -326,21 +323,6 @@
 
 // ---- Calls beside elections
 
-pid_t spawn(const std::vector<std::string>& words, const std::string& configuration) {
-  std::vector<std::string> kept = words;
-  kept.insert(kept.begin(), QUARTZARCH_PROGRAM);
-  std::vector<char*> arguments;
-  for (std::string& word : kept) arguments.push_back(word.data());
-  arguments.push_back(nullptr);
-  const pid_t child = ::fork();
-  if (child != 0) return child;
-  ::setenv("NODE_CONFIG", configuration.c_str(), 1);
-  ::freopen(configuration.empty() ? "/dev/null" : (configuration + ".log").c_str(), "w", stderr);
-  ::dup2(2, 1);
-  ::execv(arguments[0], arguments.data());
-  ::_exit(127);
-}
-
 // One serving process each: three of a fleet, all voters, or three that know of none.
 class Serving {
  public:
--- a/src/cli/command_line.cpp
+++ b/src/cli/command_line.cpp
@@ -42,12 +42,6 @@
   return {};
 }
 
-// The log's stream goes with the command.
-struct LogBack {
-  Logger& log;
-  ~LogBack() { log.write_to(stderr); }
-};
-
 std::string one_line(std::string text) {
   std::replace(text.begin(), text.end(), '\n', ' ');
   return text;
@@ -77,14 +71,12 @@
   std::optional<logging::Output> output;  // of the log, to the end
   if (!log_file.empty()) {
     try {
-      output.emplace(logging::parse_log(read_file(log_file)));
+      output.emplace(log, logging::parse_log(read_file(log_file)));
     } catch (const ConfigError& error) {
       log.line("configuration: %s: %s", log_file.c_str(), error.what());
       return 2;
     }
-    log.write_to(output->stream());
   }
-  const LogBack back{log};
   if (certs.asked()) return certs.run(log);
   if (gap.asked()) return gap.run(log);
   if (fleet.asked()) return fleet.run(log);
--- a/src/health/health.cpp
+++ b/src/health/health.cpp
@@ -90,8 +90,7 @@
     charge(now, each, call.call_class, 1);
     end_trial(now, id, each, false);
   }
-  if (callers_.count(call.caller) > 0 || callers_.size() < settings_.most_callers)
-    callers_[call.caller].good.add(now, settings_.half_life, 1);
+  if (Caller* const from = caller(call.caller)) from->good.add(now, settings_.half_life, 1);
 }
 
 void Health::ended(Time now, CallId id) {
@@ -100,8 +99,7 @@
   const Call call = std::move(found->second);
   calls_.erase(found);
   if (call.turned_away.size() > 1) {
-    if (callers_.count(call.caller) > 0 || callers_.size() < settings_.most_callers)
-      callers_[call.caller].bad.add(now, settings_.half_life, 1);
+    if (Caller* const from = caller(call.caller)) from->bad.add(now, settings_.half_life, 1);
   } else if (call.turned_away.size() == 1) {
     settle_one_word(now, call);
   }
@@ -110,6 +108,12 @@
   for (const ServerId& each : call.turned_away) end_trial(now, id, each, std::nullopt);
 }
 
+// Nothing: more callers than are followed.
+Health::Caller* Health::caller(std::uint64_t id) {
+  if (callers_.count(id) == 0 && callers_.size() >= settings_.most_callers) return nullptr;
+  return &callers_[id];
+}
+
 // One server's word alone: shared between it and the caller by what is settled of both.
 void Health::settle_one_word(Time now, const Call& call) {
   const auto found = servers_.find(call.turned_away.front());
@@ -208,10 +212,10 @@
   // While it is kept away what it is kept away for fades: it stays what it was.
   if (verdict.grade == Grade::avoided || verdict.grade == Grade::on_trial) return look(verdict.only_class);
   // One class stands out if the rest is as usual, and known well enough to say so.
+  const double usual_rest = usual(now, server.listed.id, std::nullopt);
   for (const auto& [call_class, record] : server.by_class) {
     const Sum rest = sum(now, server, std::nullopt, call_class);
     if (rest.calls() < kEnoughOfTheRest) continue;
-    const double usual_rest = usual(now, server.listed.id, std::nullopt);
     if (surely_over(rest.stood, rest.failed, settings_.prior, usual_rest, settings_.certainty) >
         usual_rest + settings_.reduce_over / 2)
       continue;
--- a/src/health/health.hpp
+++ b/src/health/health.hpp
@@ -106,6 +106,7 @@
     double calls() const { return stood + failed; }
   };
 
+  Caller* caller(std::uint64_t id);
   void charge(Time now, const ServerId& server, unsigned call_class, double what);
   void settle_one_word(Time now, const Call& call);
   void end_trial(Time now, CallId call, const ServerId& at, std::optional<bool> well);
--- a/src/logging/output.cpp
+++ b/src/logging/output.cpp
@@ -46,7 +46,7 @@
   std::string rest;
 };
 
-Output::Output(const Settings& settings) {
+Output::Output(Logger& log, const Settings& settings) : log_(log) {
   try {
     sink_ = std::make_unique<Sink>(settings);
   } catch (const spdlog::spdlog_ex& error) {
@@ -59,8 +59,12 @@
   };
   stream_ = ::fopencookie(sink_.get(), "w", io);
   if (!stream_) throw ConfigError("no memory for the log's stream");
+  log_.write_to(stream_);
 }
 
-Output::~Output() { std::fclose(stream_); }
+Output::~Output() {
+  log_.write_to(stderr);
+  std::fclose(stream_);
+}
 
 }  // namespace quartzarch::logging
--- a/src/logging/output.hpp
+++ b/src/logging/output.hpp
@@ -1,9 +1,11 @@
-// Where the program's log goes with `--log FILE`: spdlog's sinks behind the stream that Logger writes to.
+// Where the program's log goes with `--log FILE`: spdlog's sinks behind the stream that Logger writes to, as
+// long as this lives; then it goes to standard error again.
 #pragma once
 
 #include <cstdio>
 #include <memory>
 
+#include "log.hpp"
 #include "logging/settings.hpp"
 
 namespace quartzarch::logging {
@@ -11,16 +13,14 @@
 class Output {
  public:
   // Throws ConfigError if the file cannot be opened.
-  explicit Output(const Settings& settings);
+  Output(Logger& log, const Settings& settings);
   ~Output();
   Output(const Output&) = delete;
   Output& operator=(const Output&) = delete;
 
-  // For Logger; of this object's life.
-  std::FILE* stream() const { return stream_; }
-
  private:
   struct Sink;
+  Logger& log_;
   std::unique_ptr<Sink> sink_;
   std::FILE* stream_ = nullptr;
 };
--- a/src/register/node.cpp
+++ b/src/register/node.cpp
@@ -196,7 +196,7 @@
     // Who asks for a vote counts it by the voters that it knows of. The library refuses it where this one has
     // not heard yet that it has a vote: its own, it may be, is the one that is missing (Raft has each answer
     // by term and log alone).
-    raft_server* const own = message.type == RAFT_IO_REQUEST_VOTE ? own_entry() : nullptr;
+    raft_server* const own = message.type == RAFT_IO_REQUEST_VOTE ? entry_of(settings_.id) : nullptr;
     const int role = own ? own->role : RAFT_VOTER;
     if (own && own->role != RAFT_VOTER) forget_silent_leader();
     if (own) own->role = RAFT_VOTER;
@@ -351,17 +351,16 @@
   // each heartbeat.
   void tell_successor() {
     if (!handing_over() || (handed_at_ && now_ - *handed_at_ < settings_.heartbeat)) return;
-    const raft_configuration& known = raft_.configuration;
+    const raft_server* const successor = entry_of(handed_to_);
+    if (!successor) return;
     const raft_index last = raft_last_index(&raft_);
-    for (unsigned i = 0; i < known.n; ++i) {
-      if (known.servers[i].id != handed_to_ || raft_.leader_state.progress[i].match_index != last) continue;
-      handed_at_ = now_;
-      wire::Message message;
-      message.type = RAFT_IO_TIMEOUT_NOW;
-      message.figures = {raft_.current_term, last,
-                         last > raft_.log.offset ? term_at(last) : raft_.log.snapshot.last_term};
-      transport_.send(handed_to_, known.servers[i].address, wire::encode(message));
-    }
+    if (raft_.leader_state.progress[successor - raft_.configuration.servers].match_index != last) return;
+    handed_at_ = now_;
+    wire::Message message;
+    message.type = RAFT_IO_TIMEOUT_NOW;
+    message.figures = {raft_.current_term, last,
+                       last > raft_.log.offset ? term_at(last) : raft_.log.snapshot.last_term};
+    transport_.send(handed_to_, successor->address, wire::encode(message));
   }
 
   Status status() const {
@@ -375,12 +374,8 @@
     if (!failed_) raft_leader(raft, &id, &address);
     status.leader_id = id;
     if (address) status.leader_address = address;
-    if (handing_over()) {
-      for (unsigned i = 0; i < raft_.configuration.n; ++i) {
-        const raft_server& server = raft_.configuration.servers[i];
-        if (server.id == handed_to_) status.leader_address = server.address;
-      }
-    }
+    const raft_server* const successor = handing_over() ? entry_of(handed_to_) : nullptr;
+    if (successor) status.leader_address = successor->address;
     status.last_index = raft_last_index(raft);
     status.commit_index = raft_.commit_index;
     status.applied_index = raft_last_applied(raft);
@@ -706,11 +701,11 @@
     raft_.follower_state.current_leader.address = nullptr;
   }
 
-  // This voter among those that it knows of, or nothing.
-  raft_server* own_entry() {
-    raft_configuration& known = raft_.configuration;
+  // That voter among those that this one knows of, or nothing.
+  raft_server* entry_of(VoterId id) const {
+    const raft_configuration& known = raft_.configuration;
     const auto found = std::find_if(known.servers, known.servers + known.n,
-                                    [this](const raft_server& each) { return each.id == settings_.id; });
+                                    [id](const raft_server& each) { return each.id == id; });
     return found == known.servers + known.n ? nullptr : found;
   }
 
--- a/tests/duty_clocks_test.cpp
+++ b/tests/duty_clocks_test.cpp
@@ -34,10 +34,6 @@
       if (written().empty()) holds(who);
     }
   }
-  void more_work(std::size_t effects) {
-    const std::size_t before = written().size();
-    until([&] { return written().size() > before + effects; }, "the work going on");
-  }
   std::map<std::string, double> rates;  // of the steady clocks, from each start on; 1 if it is not named
   std::string path(const std::string& who) const { return directory + "/" + who + ".clock"; }
 };
--- a/tests/duty_faults_test.cpp
+++ b/tests/duty_faults_test.cpp
@@ -19,10 +19,6 @@
     for (const Effect& each : written()) tokens.insert(each.token);
     return tokens.size();
   }
-  void more_work(std::size_t effects) {
-    const std::size_t before = written().size();
-    until([&] { return written().size() > before + effects; }, "the work going on");
-  }
   // One call at that controller, from the request to the word that it stands.
   void call(const std::string& who) {
     Peer& gateway = gateways_[who];
--- a/tests/duty_history_test.cpp
+++ b/tests/duty_history_test.cpp
@@ -153,8 +153,7 @@
     end();
     record(40);
   }
-  const std::size_t before = written().size();
-  until([&] { return written().size() > before + 20; }, "the duty held after all");
+  more_work(20);
   read_all();
   const std::string context = "QUARTZARCH_SEED=" + std::to_string(seed) + " draws these again:" + told_;
   EXPECT_EQ(history_.judge(), "") << context;
--- a/tests/fleet_process.hpp
+++ b/tests/fleet_process.hpp
@@ -172,6 +172,10 @@
         },
         ("the duty at " + who).c_str());
   }
+  void more_work(std::size_t effects) {
+    const std::size_t before = written().size();
+    until([&] { return written().size() > before + effects; }, "the work going on");
+  }
   // Somebody else than `who` has it, under a newer token.
   std::string successor_of(const std::string& who) {
     std::string now;
