A server's message belongs to one attempt: a late release ends no retry at the same server

Cause: Planner::released and Planner::stood matched a message by the call's id and the server alone. An attempt whose answer was spoilt stands at its server; the server's release of it (cause 16, repeated on the next connection) came just after the retry at the same server had left, was booked as that retry's 'fault', which needs no guard, and the module sent the call elsewhere. With cause 41 the same happened one guard later. Servers::handle also forgot the set-up that is out, whatever came for its id. Change: src/core/attempt.hpp holds one table of states, messages, connections and what earlier attempts left open; it decides what a message means, checked at compile time to cover every case. Cause 16 is never the answer to a set-up. What comes on another connection than the set-up's is an earlier attempt's once there was one there. Where nobody can tell, the attempt is ended at the server from here, and the guard runs from then. A lost connection names the attempt by its number. A retry goes on the connection on which its predecessor was released, so that it can't overtake that release. Where the old code took a cause 16 before any answer as a fault, the call now goes again after the guard if it came on the set-up's own connection (its answer was lost), else the answer is waited for.

--- /dev/null
+++ b/src/core/attempt.hpp
@@ -0,0 +1,182 @@
+// Attempts of a call at setup servers, and which of a server's messages concern the one that is out.
+//
+// The wire names a call, not an attempt: every attempt of a call at one server has the same id there. A
+// server may release what an earlier attempt set up (its answer was lost with its connection) at any later
+// time, repeats that release on the next connection opened, and may answer an attempt that was given up
+// before it hears of that. Such a message must neither answer nor end a later attempt. What tells them apart
+// is the connection (a set-up is answered on its own connection), the kind of message, and what became of
+// earlier attempts at that server.
+//
+// Decisions only: no I/O, no clock.
+#pragma once
+
+#include <array>
+#include <cstdint>
+#include <optional>
+#include <vector>
+
+#include "quartzarch/controller.hpp"
+
+namespace quartzarch {
+
+// An attempt of a call as it stands now.
+enum class AttemptState : std::uint8_t {
+  none,         // no attempt: the call waits for a server or behind the release guard
+  scheduled,    // leaves at the end of this pass
+  sent,         // handed to the server side, no answer yet
+  established,  // answered: the call stands at the server
+};
+
+enum class ServerMessage : std::uint8_t {
+  answer,   // the call stands
+  refusal,  // the set-up is turned away: causes 17, 34, 47, 102 and unknown ones
+  reset,    // cause 41: the set-up broke on its way, or a call that stood was cut
+  release,  // cause 16: a call that stood has come to its end; never the answer to a set-up
+};
+
+// The connection that a message came on: that of the set-up which is out, or another to the same server.
+enum class Connection : std::uint8_t { own, other };
+
+// What may still come of earlier attempts of the call at the same server.
+enum class Earlier : std::uint8_t {
+  none,             // nothing: there was none, or the server's own word ended each
+  connection_lost,  // its connection is gone: a release of what it may have set up
+  given_up,  // by a time-out or a cancel: also a late answer or refusal on a connection that is still open
+};
+
+enum class Verdict : std::uint8_t {
+  ignore,            // of an earlier attempt, or a repetition
+  answered,          // the call stands
+  refused,           // the attempt is over
+  give_up,           // of this attempt or of an earlier one, nobody can tell: end the attempt at the server
+  answer_lost,       // the attempt's call came and went, its answer will not come any more
+  ended_early,       // the attempt's call is over before its answer was seen: answer it, then end it
+  ended,             // the call that stood is over
+  ended_and_release  // it is over, or an earlier one is: end it at the server as well
+};
+
+struct MessageRule {
+  AttemptState state;
+  ServerMessage message;
+  std::optional<Connection> connection;  // absent: any
+  std::optional<Earlier> earlier;        // absent: any
+  Verdict verdict;
+  const char* reason;  // for the log
+};
+
+// The first rule that matches decides. Every combination is matched.
+inline constexpr auto kMessageRules = [] {
+  using enum ServerMessage;
+  using S = AttemptState;
+  using V = Verdict;
+  constexpr auto kAnyConnection = std::optional<Connection>{};
+  constexpr auto kAnyEarlier = std::optional<Earlier>{};
+  constexpr auto kOwn = std::optional(Connection::own);
+  constexpr auto kOther = std::optional(Connection::other);
+  constexpr auto kNone = std::optional(Earlier::none);
+  constexpr auto kLost = std::optional(Earlier::connection_lost);
+  constexpr auto kGivenUp = std::optional(Earlier::given_up);
+  return std::to_array<MessageRule>({
+      {S::none, answer, kAnyConnection, kAnyEarlier, V::ignore, "no attempt is out"},
+      {S::none, refusal, kAnyConnection, kAnyEarlier, V::ignore, "no attempt is out"},
+      {S::none, reset, kAnyConnection, kAnyEarlier, V::ignore, "no attempt is out"},
+      {S::none, release, kAnyConnection, kAnyEarlier, V::ignore, "no attempt is out"},
+
+      {S::scheduled, answer, kAnyConnection, kAnyEarlier, V::ignore, "the attempt has not left"},
+      {S::scheduled, refusal, kAnyConnection, kAnyEarlier, V::ignore, "the attempt has not left"},
+      {S::scheduled, reset, kAnyConnection, kAnyEarlier, V::ignore, "the attempt has not left"},
+      {S::scheduled, release, kAnyConnection, kAnyEarlier, V::ignore, "the attempt has not left"},
+
+      {S::sent, answer, kOwn, kAnyEarlier, V::answered, "answered"},
+      {S::sent, answer, kOther, kNone, V::answered, "answered"},
+      {S::sent, answer, kOther, kAnyEarlier, V::ignore, "an earlier attempt's: another connection"},
+      {S::sent, refusal, kOwn, kGivenUp, V::give_up, "this attempt's or an earlier one's"},
+      {S::sent, refusal, kOwn, kAnyEarlier, V::refused, "refused"},
+      {S::sent, refusal, kOther, kNone, V::refused, "refused"},
+      {S::sent, refusal, kOther, kAnyEarlier, V::ignore, "an earlier attempt's: another connection"},
+      {S::sent, reset, kOwn, kNone, V::refused, "reset"},
+      {S::sent, reset, kOwn, kAnyEarlier, V::give_up, "this attempt's or an earlier one's"},
+      {S::sent, reset, kOther, kNone, V::refused, "reset"},
+      {S::sent, reset, kOther, kAnyEarlier, V::ignore, "an earlier attempt's: another connection"},
+      {S::sent, release, kOwn, kNone, V::answer_lost, "over, and no answer came before it"},
+      {S::sent, release, kOther, kNone, V::ended_early, "the answer is still to come"},
+      {S::sent, release, kAnyConnection, kAnyEarlier, V::ignore,
+       "an earlier attempt's: this one has no answer"},
+
+      {S::established, answer, kAnyConnection, kAnyEarlier, V::ignore, "the call stands there already"},
+      {S::established, refusal, kOther, kLost, V::ignore, "an earlier attempt's: another connection"},
+      {S::established, refusal, kOther, kGivenUp, V::ignore, "an earlier attempt's: another connection"},
+      {S::established, refusal, kAnyConnection, kNone, V::ended, "over"},
+      {S::established, refusal, kAnyConnection, kAnyEarlier, V::ended_and_release, "over"},
+      {S::established, reset, kAnyConnection, kNone, V::ended, "over"},
+      {S::established, reset, kAnyConnection, kAnyEarlier, V::ended_and_release, "over"},
+      {S::established, release, kAnyConnection, kNone, V::ended, "over"},
+      {S::established, release, kAnyConnection, kAnyEarlier, V::ended_and_release, "over"},
+  });
+}();
+
+constexpr std::optional<MessageRule> find_rule(AttemptState state, ServerMessage message,
+                                               Connection connection, Earlier earlier) {
+  for (const MessageRule& rule : kMessageRules) {
+    const bool matches = rule.state == state && rule.message == message &&
+                         rule.connection.value_or(connection) == connection &&
+                         rule.earlier.value_or(earlier) == earlier;
+    if (matches) return rule;
+  }
+  return std::nullopt;
+}
+
+constexpr bool every_message_is_decided() {
+  for (const auto state :
+       {AttemptState::none, AttemptState::scheduled, AttemptState::sent, AttemptState::established})
+    for (const auto message :
+         {ServerMessage::answer, ServerMessage::refusal, ServerMessage::reset, ServerMessage::release})
+      for (const auto connection : {Connection::own, Connection::other})
+        for (const auto earlier : {Earlier::none, Earlier::connection_lost, Earlier::given_up})
+          if (!find_rule(state, message, connection, earlier)) return false;
+  return true;
+}
+static_assert(every_message_is_decided());
+
+// What earlier attempts of one call left open, by server.
+class EarlierAttempts {
+ public:
+  // An attempt at `server` is over for this side. Only the server's own answer or refusal settles it: after
+  // anything else a message of it may still come.
+  void ended(const ServerId& server, Ending ending) {
+    const Earlier left = left_by(ending);
+    if (left == Earlier::none) return;
+    for (Entry& entry : entries_) {
+      if (entry.server != server) continue;
+      if (entry.left < left) entry.left = left;
+      return;
+    }
+    entries_.push_back({server, left});
+  }
+  Earlier at(const ServerId& server) const {
+    for (const Entry& entry : entries_) {
+      if (entry.server == server) return entry.left;
+    }
+    return Earlier::none;
+  }
+
+ private:
+  struct Entry {
+    ServerId server;
+    Earlier left;
+  };
+  static Earlier left_by(Ending ending) {
+    switch (ending) {
+      case Ending::reset:
+        return Earlier::connection_lost;
+      case Ending::timed_out:
+      case Ending::cancelled:
+        return Earlier::given_up;
+      default:
+        return Earlier::none;
+    }
+  }
+  std::vector<Entry> entries_{};
+};
+
+}  // namespace quartzarch
--- a/src/core/exchange.hpp
+++ b/src/core/exchange.hpp
@@ -6,6 +6,7 @@
 #include <string>
 #include <utility>
 
+#include "core/attempt.hpp"
 #include "core/calls.hpp"
 
 namespace quartzarch {
@@ -16,7 +17,8 @@
     unsigned number = 0;
     ServerId server{};
     Time sent{};
-    bool left = false;  // handed to the server side
+    bool left = false;         // handed to the server side
+    bool ended_early = false;  // the server has said that it is over, its answer is still to come
   };
 
   Exchange(Request request, Front& front) : request_(std::move(request)), front_(&front) {}
@@ -47,6 +49,7 @@
   }
 
   std::optional<Attempt> attempt{};  // the one that is out or stands
+  EarlierAttempts earlier{};         // what those before it left open
   unsigned attempts = 0;             // made so far
   bool timed_out = false;            // the last one did
 
--- a/src/core/planner.cpp
+++ b/src/core/planner.cpp
@@ -228,58 +228,122 @@
 
 // ---- The server side
 
-void Planner::stood(const ServerId& server, ServerLine line) {
+bool Planner::told_of_call(const ServerId& server, ServerLine line, MessageOrigin origin) {
   Exchange* const exchange = find(line.call);
-  const bool current = exchange && exchange->attempt && exchange->attempt->left &&
-                       exchange->attempt->server == server && !exchange->stands();
-  if (!exchange && past_.count(line.call) == 0) return ignore(server, line, "unknown call");
-  // A late answer to a set-up that was given up: nobody will ever use the call.
-  if (!current || !exchange->owed()) {
-    if (exchange && exchange->stands() && exchange->attempt->server == server)
-      return ignore(server, line, "the call stands there already");
-    // The attempt was ended when it was given up. To end it again while the call waits to be sent again could
-    // cut the next attempt, which may go to the same server on another connection.
-    if (exchange && exchange->owed() && !exchange->attempt) return ignore(server, line, "no attempt is out");
+  if (!exchange) {
+    told_of_unknown_call(server, line);
+    return false;
+  }
+  if (exchange->attempt && exchange->attempt->server != server) {
+    told_by_another_server(*exchange, server, line);
+    return false;
+  }
+  return told_of_attempt(*exchange, server, std::move(line), origin);
+}
+
+void Planner::told_of_unknown_call(const ServerId& server, const ServerLine& line) {
+  const bool is_past = past_.count(line.call) > 0;
+  if (line.op == ServerOp::accept) {
+    if (!is_past) return ignore(server, line, "unknown call");
+    // Nobody will ever use the call.
     log_.call_line("call %s: late answer of %s, released there", call_text(line.call).c_str(),
                    server_text(server).c_str());
-    servers_.end(server, line.call, cause::kNormal);
-    if (current) attempt_ended(*exchange, Ending::cancelled);
-    return;
+    return servers_.end(server, line.call, cause::kNormal);
   }
-  const Exchange::Attempt attempt = *exchange->attempt;
-  settle(*exchange);
-  const CallId call = line.call;
-  if (gate_) gate_->answered(exchange->request(), loop_.now());
-  tally_.served(exchange->request().call_class);
-  exchange->answer(std::move(line.description));
-  deliver(SetupStood{call, attempt.number, server, loop_.now() - attempt.sent});
-  if (!line.load.empty()) told(server, parse_load(line.load));
+  // It may have stood before this process started: its caller must still hear that it is over.
+  const bool over = line.why == cause::kNormal || line.why == cause::kTemporary;
+  remember(line.call);
+  if (!is_past && over && strays_) strays_->over(line.call, line.why);
 }
 
-void Planner::released(const ServerId& server, const ServerLine& line) {
-  const LoadReport report = parse_load(line.load);
-  Exchange* const exchange = find(line.call);
-  if (!exchange) {
-    // It stood before this process started: its caller must still hear that it is over.
-    const bool stray =
-        past_.count(line.call) == 0 && (line.why == cause::kNormal || line.why == cause::kTemporary);
-    remember(line.call);
-    if (stray && strays_) strays_->over(line.call, line.why);
-    return;
+// Of an earlier attempt there, which is over: a call that stands by it has nobody to use it.
+void Planner::told_by_another_server(const Exchange& exchange, const ServerId& server,
+                                     const ServerLine& line) {
+  if (line.op != ServerOp::accept) return ignore(server, line, "the attempt is at another server");
+  log_.call_line("call %s: late answer of %s, released there", call_text(exchange.request().call).c_str(),
+                 server_text(server).c_str());
+  servers_.end(server, line.call, cause::kNormal);
+}
+
+namespace {
+
+AttemptState state_of(const Exchange& exchange, bool set_up_is_out) {
+  if (!exchange.attempt) return AttemptState::none;
+  if (exchange.stands()) return AttemptState::established;
+  return exchange.attempt->left && set_up_is_out ? AttemptState::sent : AttemptState::scheduled;
+}
+
+ServerMessage message_of(const ServerLine& line) {
+  if (line.op == ServerOp::accept) return ServerMessage::answer;
+  if (line.why == cause::kNormal) return ServerMessage::release;
+  return line.why == cause::kTemporary ? ServerMessage::reset : ServerMessage::refusal;
+}
+
+}  // namespace
+
+bool Planner::told_of_attempt(Exchange& exchange, const ServerId& server, ServerLine line,
+                              MessageOrigin origin) {
+  const CallId call = line.call;
+  const MessageRule rule = *find_rule(state_of(exchange, origin.set_up_is_out), message_of(line),
+                                      origin.connection, exchange.earlier.at(server));
+  const Ending over = line.why == cause::kNormal ? Ending::completed : Ending::reset;
+  switch (rule.verdict) {
+    case Verdict::ignore:
+      ignore(server, line, rule.reason);
+      return false;
+    case Verdict::ended_early:
+      ignore(server, line, rule.reason);
+      exchange.attempt->ended_early = true;
+      return false;
+    case Verdict::answered:
+      answered(exchange, std::move(line));
+      return true;
+    case Verdict::refused:
+      attempt_ended(exchange, refusal_of(line.why), cause_of(line.note), parse_load(line.load));
+      return true;
+    case Verdict::answer_lost:
+      attempt_ended(exchange, Ending::reset, Cause::connection_lost, parse_load(line.load));
+      return true;
+    case Verdict::give_up:
+      give_up(exchange);
+      return true;
+    case Verdict::ended:
+      end_standing(call, over, line.why, parse_load(line.load));
+      return true;
+    case Verdict::ended_and_release:
+      servers_.end(server, call, cause::kNormal);
+      end_standing(call, over, line.why, parse_load(line.load));
+      return true;
   }
-  if (!exchange->attempt) return ignore(server, line, "no attempt is out");
-  if (exchange->attempt->server != server) return ignore(server, line, "the attempt is at another server");
-  if (exchange->stands()) {
-    const Ending ending = line.why == cause::kNormal ? Ending::completed : Ending::reset;
-    return end_standing(line.call, ending, line.why, report);
+  return false;
+}
+
+void Planner::answered(Exchange& exchange, ServerLine line) {
+  const Exchange::Attempt attempt = *exchange.attempt;
+  if (!exchange.owed()) {
+    // Its caller has left: nobody will ever use the call.
+    servers_.end(attempt.server, line.call, cause::kNormal);
+    return attempt_ended(exchange, Ending::cancelled);
   }
-  if (!exchange->attempt->left) return ignore(server, line, "the attempt has not left yet");
-  attempt_ended(*exchange, refusal_of(line.why), cause_of(line.note), report);
+  settle(exchange);
+  if (gate_) gate_->answered(exchange.request(), loop_.now());
+  tally_.served(exchange.request().call_class);
+  exchange.answer(std::move(line.description));
+  deliver(SetupStood{line.call, attempt.number, attempt.server, loop_.now() - attempt.sent});
+  if (!line.load.empty()) told(attempt.server, parse_load(line.load));
+  if (attempt.ended_early) end_standing(line.call, Ending::completed, cause::kNormal, {});
+}
+
+// The server may have meant this attempt or an earlier one. Ended from here, it is over either way.
+void Planner::give_up(Exchange& exchange) {
+  servers_.end(exchange.attempt->server, exchange.request().call, cause::kNormal);
+  attempt_ended(exchange, Ending::reset, Cause::connection_lost);
 }
 
-void Planner::broke(const ServerId& server, CallId call, Break how) {
+void Planner::broke(const ServerId& server, CallId call, unsigned attempt, Break how) {
   Exchange* const exchange = find(call);
-  if (!exchange || !exchange->attempt || exchange->attempt->server != server || exchange->stands()) return;
+  if (!exchange || !exchange->attempt || exchange->stands()) return;
+  if (exchange->attempt->server != server || exchange->attempt->number != attempt) return;
   // A connection that broke says nothing of the process behind it; one that cannot be made does.
   attempt_ended(*exchange, how == Break::sent ? Ending::reset : Ending::not_connected,
                 how == Break::unreachable ? Cause::none : Cause::connection_lost);
@@ -372,6 +436,7 @@
   const Exchange::Attempt attempt = *std::exchange(exchange.attempt, std::nullopt);
   const bool settled = !exchange.owed();
   exchange.timed_out = ending == Ending::timed_out;
+  exchange.earlier.ended(attempt.server, ending);
   ++tally_.attempts_ended[static_cast<std::size_t>(ending)];
   log_.call_line("call %s: attempt %u at %s ended after %lld ms: %s%s", call_text(call).c_str(),
                  attempt.number, server_text(attempt.server).c_str(),
@@ -445,8 +510,8 @@
     }
     ++tally_.dispatches;
     const Request& request = exchange->request();
-    servers_.offer(exchange->attempt->server,
-                   {call, request.call_class, request.number, request.description, exchange->deadline()});
+    servers_.offer(exchange->attempt->server, {call, request.call_class, request.number, request.description,
+                                               exchange->deadline(), number});
   }
   return !due.empty();
 }
--- a/src/net/servers.cpp
+++ b/src/net/servers.cpp
@@ -93,8 +93,8 @@
 
 std::optional<Time> Servers::Lane::owes() const {
   std::optional<Time> first = given_up;
-  for (const auto& [call, sent] : out) {
-    if (sent > heard && (!first || sent < *first)) first = sent;
+  for (const auto& [call, set_up] : out) {
+    if (set_up.sent > heard && (!first || set_up.sent < *first)) first = set_up.sent;
   }
   return first;
 }
@@ -108,20 +108,33 @@
   return {};
 }
 
+// It is in the middle of a line, or has owed an answer for a while.
+bool Servers::doubtful(const Lane& lane) const {
+  return lane.cut_short || loop_.now() - lane.owes().value_or(loop_.now()) > kOvertakenBy;
+}
+
 // Of those that are up, the first with the fewest set-ups out; one that is in the middle of a line comes
 // last.
 Servers::Lane* Servers::best_lane(Link& link) {
   Lane* best = nullptr;
-  const auto rank = [this](const Lane& lane) {
-    const bool doubtful = lane.cut_short || loop_.now() - lane.owes().value_or(loop_.now()) > kOvertakenBy;
-    return std::pair(doubtful, lane.out.size());
-  };
+  const auto rank = [this](const Lane& lane) { return std::pair(doubtful(lane), lane.out.size()); };
   for (Lane& lane : link.lanes) {
     if (lane.up() && (!best || rank(lane) < rank(*best))) best = &lane;
   }
   return best;
 }
 
+// The connection on which an earlier attempt of the call was released a short while ago. A retry on another
+// one could overtake that release, which would then end the retry.
+Servers::Lane* Servers::lane_after_release(Link& link, CallId call) {
+  for (Lane& lane : link.lanes) {
+    const bool released = std::any_of(lane.ended.begin(), lane.ended.end(),
+                                      [&](const auto& item) { return item.second.offer.call == call; });
+    if (released && lane.up() && !doubtful(lane)) return &lane;
+  }
+  return nullptr;
+}
+
 void Servers::keep(const ServerId& server) {
   Link& kept = link(server);
   if (std::exchange(kept.kept, true)) return;
@@ -136,10 +149,10 @@
   if (gone.refresh) loop_.cancel(*gone.refresh);
   for (Lane& lane : gone.lanes) close_lane(lane);
   for (Lane& lane : gone.lanes) {
-    for (const auto& [call, sent] : lane.out) owner_.broke(server, call, Break::sent);
+    for (const auto& [call, set_up] : lane.out) owner_.broke(server, call, set_up.attempt, Break::sent);
   }
   for (const Waiting& what : gone.waiting) {
-    if (what.is_offer) owner_.broke(server, what.offer.call, Break::unreachable);
+    if (what.is_offer) owner_.broke(server, what.offer.call, what.offer.attempt, Break::unreachable);
   }
 }
 
@@ -188,11 +201,13 @@
 void Servers::offer(const ServerId& server, Offer offer) {
   Link& to = link(server);
   Waiting what{true, std::move(offer), 0};
-  if (Lane* const lane = best_lane(to)) {
+  Lane* const released_on = lane_after_release(to, what.offer.call);
+  if (Lane* const lane = released_on ? released_on : best_lane(to)) {
     if (!lane->out.empty()) connect(to);  // the next need not share it
     return write(to, *lane, what);
   }
-  if (to.waiting.size() >= kMostWaiting) return owner_.broke(server, what.offer.call, Break::unreachable);
+  if (to.waiting.size() >= kMostWaiting)
+    return owner_.broke(server, what.offer.call, what.offer.attempt, Break::unreachable);
   to.waiting.push_back(std::move(what));
   connect(to);
 }
@@ -232,7 +247,7 @@
     if (out == each.out.end()) continue;
     lane = &each;
     // What is given up here is no sign of silence, unless others had overtaken it.
-    const Time sent = out->second;
+    const Time sent = out->second.sent;
     const bool overtaken = sent > each.heard && sent + kOvertakenBy < to.answered_to;
     if (overtaken && !each.given_up) each.given_up = sent;
     each.out.erase(out);
@@ -258,7 +273,7 @@
     for (Lane& each : link.lanes) {
       std::erase_if(each.ended, [&](const auto& item) { return item.second.offer.call == what.offer.call; });
     }
-    lane.out[what.offer.call] = loop_.now();
+    lane.out[what.offer.call] = {what.offer.attempt, loop_.now()};
     return lane.stream->send(offer_segment(what.offer, what.offer.until - loop_.now()));
   }
   while (!lane.ended.empty() && loop_.now() - lane.ended.front().first > kUnreadFor) lane.ended.pop_front();
@@ -303,15 +318,22 @@
   const ServerId server = at.link->server;
   if (line.op == ServerOp::group) return owner_.told(server, parse_load(line.load));
   if (line.op != ServerOp::accept && line.op != ServerOp::end) return;
-  // Mostly it comes on the connection of its set-up, but the server may use any.
-  for (Lane& lane : at.link->lanes) {
-    const auto out = lane.out.find(line.call);
+  const CallId call = line.call;
+  MessageOrigin origin;
+  for (const Lane& lane : at.link->lanes) origin.set_up_is_out |= lane.out.count(call) > 0;
+  if (at.lane->out.count(call) > 0) origin.connection = Connection::own;
+  if (owner_.told_of_call(server, std::move(line), origin)) settle(server, call);
+}
+
+void Servers::settle(const ServerId& server, CallId call) {
+  const auto found = links_.find(server);
+  if (found == links_.end()) return;
+  for (Lane& lane : found->second.lanes) {
+    const auto out = lane.out.find(call);
     if (out == lane.out.end()) continue;
-    at.link->answered_to = std::max(at.link->answered_to, out->second);
+    found->second.answered_to = std::max(found->second.answered_to, out->second.sent);
     lane.out.erase(out);
   }
-  if (line.op == ServerOp::accept) return owner_.stood(server, std::move(line));
-  owner_.released(server, line);
 }
 
 // After what cannot be read nothing that comes on the connection can be trusted.
@@ -362,8 +384,8 @@
         at.link->waiting.push_back(what);
       }
     }
-    for (const auto& [call, sent] : out) {
-      owner_.broke(server, call, unsent.count(call) > 0 ? Break::unsent : Break::sent);
+    for (const auto& [call, set_up] : out) {
+      owner_.broke(server, call, set_up.attempt, unsent.count(call) > 0 ? Break::unsent : Break::sent);
     }
     return;
   }
@@ -382,7 +404,7 @@
   if (died) owner_.died(server);
   for (const Waiting& what : waiting) {
     if (what.is_offer) {
-      owner_.broke(server, what.offer.call, Break::unreachable);
+      owner_.broke(server, what.offer.call, what.offer.attempt, Break::unreachable);
     } else if (const auto still = links_.find(server); still != links_.end() && !died) {
       still->second.waiting.push_back(what);
     }
--- a/src/net/servers.hpp
+++ b/src/net/servers.hpp
@@ -9,6 +9,7 @@
 #include <string>
 #include <vector>
 
+#include "core/attempt.hpp"
 #include "core/calls.hpp"
 #include "log.hpp"
 #include "net/server_lines.hpp"
@@ -22,7 +23,14 @@
   std::string call_class{};
   std::string number{};
   std::string description{};
-  Time until{};  // when this side stops waiting
+  Time until{};          // when this side stops waiting
+  unsigned attempt = 0;  // its number among the attempts of the call
+};
+
+// Whether a set-up of the call that a message names is out at the server, and on which connection.
+struct MessageOrigin {
+  bool set_up_is_out = false;
+  Connection connection = Connection::other;
 };
 
 // How a set-up was lost: with a connection that broke before it left whole, or after (it may have run), or
@@ -34,11 +42,11 @@
   class Owner {
    public:
     virtual ~Owner() = default;
-    virtual void stood(const ServerId& server, ServerLine line) = 0;
-    // A refusal of a set-up or the release of a call.
-    virtual void released(const ServerId& server, const ServerLine& line) = 0;
-    // A set-up was lost on the way.
-    virtual void broke(const ServerId& server, CallId call, Break how) = 0;
+    // An answer, refusal or release. True if it settles the set-up that is out, which is not waited for any
+    // more.
+    virtual bool told_of_call(const ServerId& server, ServerLine line, MessageOrigin origin) = 0;
+    // The set-up of an attempt was lost on the way.
+    virtual void broke(const ServerId& server, CallId call, unsigned attempt, Break how) = 0;
     virtual void told(const ServerId& server, const LoadReport& report) = 0;
     // Its process is gone, and with it every call there.
     virtual void died(const ServerId& server) = 0;
@@ -86,10 +94,15 @@
     Offer offer{};
     int cause = 0;
   };
+  // A set-up that was written and is not settled.
+  struct SetUp {
+    unsigned attempt = 0;
+    Time sent{};
+  };
   // One connection. What breaks it takes only the set-ups on it along, so a server has a few.
   struct Lane {
     std::shared_ptr<Stream> stream{};
-    std::map<CallId, Time> out{};                  // set-ups written and not answered, by their send
+    std::map<CallId, SetUp> out{};
     std::deque<std::pair<Time, Waiting>> ended{};  // releases written a short while ago
     Time heard{};                                  // the last whole line
     std::optional<Time> given_up{};   // since then: when a set-up was sent that was overtaken and given up
@@ -125,6 +138,9 @@
   Link& link(const ServerId& server);
   Place place_of(const Stream& stream);
   Lane* best_lane(Link& link);
+  Lane* lane_after_release(Link& link, CallId call);
+  bool doubtful(const Lane& lane) const;
+  void settle(const ServerId& server, CallId call);
   void connect(Link& link);
   void connect(Link& link, Lane& lane);
   void reconnect_after_backoff(Link& link, Lane& lane);
--- a/tests/attempt_identity_test.cpp
+++ b/tests/attempt_identity_test.cpp
@@ -108,6 +108,106 @@
                       LateRelease{Loss::spoilt, 16, On::fresh}, LateRelease{Loss::spoilt, 41, On::fresh}),
     [](const auto& each) { return text(each.param); });
 
+// The retry stands when the release of the first attempt comes: which of the two is over, nobody can tell, so
+// both are.
+TEST_F(RetriedCall, AReleaseThatMayBeAnEarlierAttemptsEndsTheCallOnBothSides) {
+  lose_the_first_attempt(Loss::spoilt);
+  retried->say(line("accept", kId, "\"desc\":\"s\""));
+  hears(gateway, kAnswered);
+  gateway.take();
+  retried->say(line("end", kId, "\"why\":16"));
+  hears(gateway, binary(12, 0xaa, {{208, "\x10"}}));
+  hears(*retried, line("end", kId, "\"why\":16"));
+}
+
+// A call is answered and over before its answer was read: the release, said on another connection, comes
+// first.
+TEST_F(RetriedCall, ACallWhoseReleaseOvertakesItsAnswerIsAnsweredAndThenOver) {
+  open_server();
+  gateway = caller();
+  gateway.say(setup(0xaa, "d"));
+  hears(server, "offer");
+  gateway.say(setup(0xbb, "d"));
+  until([&] { return static_cast<bool>(other = listener.accept()); }, "a second connection");
+  settle(3);
+  other.say(line("end", kId, "\"why\":16"));
+  settle();
+  EXPECT_EQ(gateway.heard(), "");
+  server.say(line("accept", kId, "\"desc\":\"s\""));
+  hears(gateway, kAnswered + binary(12, 0xaa, {{208, "\x10"}}));
+}
+
+// On the set-up's own connection a release can only follow an answer: that was lost, and the call is sent
+// again.
+TEST_F(RetriedCall, ACallWhoseAnswerWasLostIsSentAgainAfterTheGuard) {
+  open_server();
+  gateway = caller();
+  gateway.say(setup(0xaa, "d"));
+  hears(server, "offer");
+  server.take();
+  const Time released = loop.now();
+  server.say(line("end", kId, "\"why\":16"));
+  hears(server, "offer");
+  EXPECT_GE(loop.now() - released, milliseconds(300));
+}
+
+// The table itself, where a whole conversation would only repeat it.
+TEST(MessageRules, WhatAnEarlierAttemptMayHaveSentNeverSettlesALaterOneUnasked) {
+  const auto verdict = [](ServerMessage message, Connection connection, Earlier earlier) {
+    return find_rule(AttemptState::sent, message, connection, earlier)->verdict;
+  };
+  for (const Earlier earlier : {Earlier::connection_lost, Earlier::given_up}) {
+    for (const ServerMessage message :
+         {ServerMessage::answer, ServerMessage::refusal, ServerMessage::reset, ServerMessage::release}) {
+      EXPECT_EQ(verdict(message, Connection::other, earlier), Verdict::ignore);
+    }
+    EXPECT_EQ(verdict(ServerMessage::release, Connection::own, earlier), Verdict::ignore);
+    EXPECT_EQ(verdict(ServerMessage::reset, Connection::own, earlier), Verdict::give_up);
+  }
+  EXPECT_EQ(verdict(ServerMessage::refusal, Connection::own, Earlier::given_up), Verdict::give_up);
+  EXPECT_EQ(verdict(ServerMessage::refusal, Connection::own, Earlier::connection_lost), Verdict::refused);
+}
+
+// A release of the first attempt that is read after the retry would end the retry: both go on one connection.
+TEST_F(RetriedCall, ARetryFollowsTheReleaseOfTheAttemptBeforeOnItsConnection) {
+  struct Nobody : Servers::Owner {
+    bool told_of_call(const ServerId&, ServerLine, MessageOrigin) override { return true; }
+    void broke(const ServerId&, CallId, unsigned, Break) override {}
+    void told(const ServerId&, const LoadReport&) override {}
+    void died(const ServerId&) override {}
+    bool awaits_end(const ServerId&) const override { return false; }
+    void cut_off(const ServerId&) override {}
+  } owner;
+  Servers servers(loop, log, owner, milliseconds(500));
+  const ServerId id = host(listener, 0).entry.id;
+  servers.keep(id);
+  const auto accepted = [&] {
+    if (Peer more = listener.accept()) lanes.push_back(std::move(more));
+    return lanes.size();
+  };
+  until([&] { return accepted() == 1; }, "the first connection");
+  settle();
+  const Time far = loop.now() + std::chrono::hours(1);
+  servers.offer(id, {0xbb, "voice", "1", "d", far});
+  servers.offer(id, {0xcc, "voice", "1", "d", far});
+  until([&] { return accepted() == 2; }, "the second connection");
+  settle();
+  servers.offer(id, {0xaa, "voice", "1", "d", far, 0});  // on the second: nothing is out there yet
+  servers.offer(id, {0xdd, "voice", "1", "d", far});
+  servers.offer(id, {0xee, "voice", "1", "d", far});
+  settle();
+  servers.end(id, 0xaa, cause::kNormal);
+  servers.offer(id, {0xaa, "voice", "1", "d", far, 1});
+  settle();
+  for (Peer& lane : lanes) {
+    const std::string& heard = lane.heard();
+    const auto release = heard.find(line("end", kId, "\"why\":16"));
+    EXPECT_EQ(release == std::string::npos, heard.find(kId) == std::string::npos);
+    if (release == std::string::npos) continue;
+    EXPECT_NE(heard.find("\"offer\",\"call\":\"" + kId, release), std::string::npos);
+  }
+}
+
 // The reproduction of the incident on a real process: its answer spoilt, a call is retried at the same
 // server, which then says that the call of the first attempt is over.
 TEST_F(Process, ALateReleaseOfASpoiltAttemptDoesNotSendTheCallElsewhere) {
--- a/tests/endings_test.cpp
+++ b/tests/endings_test.cpp
@@ -120,9 +120,8 @@
 }
 
 struct Record : Servers::Owner {
-  void stood(const ServerId&, ServerLine) override {}
-  void released(const ServerId&, const ServerLine&) override {}
-  void broke(const ServerId&, CallId, Break) override { ++broken; }
+  bool told_of_call(const ServerId&, ServerLine, MessageOrigin) override { return true; }
+  void broke(const ServerId&, CallId, unsigned, Break) override { ++broken; }
   void told(const ServerId&, const LoadReport&) override {}
   void died(const ServerId&) override { ++dead; }
   bool awaits_end(const ServerId&) const override { return false; }
--- a/tests/rough_test.cpp
+++ b/tests/rough_test.cpp
@@ -248,9 +248,8 @@
 // breaks: the release of the first, said again, would cut it behind its caller's back.
 TEST_F(Program, AReleaseOfAnEarlierAttemptDoesNotCutTheNext) {
   struct Ignores : Servers::Owner {
-    void stood(const ServerId&, ServerLine) override {}
-    void released(const ServerId&, const ServerLine&) override {}
-    void broke(const ServerId&, CallId, Break) override {}
+    bool told_of_call(const ServerId&, ServerLine, MessageOrigin) override { return true; }
+    void broke(const ServerId&, CallId, unsigned, Break) override {}
     void told(const ServerId&, const LoadReport&) override {}
     void died(const ServerId&) override {}
     bool awaits_end(const ServerId&) const override { return false; }
