A response of discovery that trickles is given up, so that drains are told in time

Cause: Coordinator counted any byte as life. A head, or an event, of a byte a second was awaited without end. Change: besides 2.2 s without a byte, a stream is given up after 3.3 s without progress: the end of the head or a whole line of events. Evidence: Program.AResponseOfDiscoveryThatTricklesIsGivenUpWithinSixSeconds (head and body) failed before and passes now; ASlowResponseOfDiscoveryThatGoesOnIsReadOn guards against giving up one that is slow and goes on.

--- a/src/net/coordinator.cpp
+++ b/src/net/coordinator.cpp
@@ -14,6 +14,8 @@
 constexpr Duration kConnectTimeout = milliseconds(1000);
 // A comment comes every second: a stream that is quiet for longer is dead.
 constexpr Duration kLongestSilence = milliseconds(2200);
+// One that brings bytes, but neither the end of its head nor a whole line of events for so long, trickles.
+constexpr Duration kLongestWithoutProgress = milliseconds(3300);
 // One that has lasted this long and breaks is asked for again without a pause: what the coordinator has to
 // tell counts as told soon after.
 constexpr Duration kLasting = milliseconds(500);
@@ -42,7 +44,7 @@
   chunked_ = false;
   line_.clear();
   data_.clear();
-  heard_ = began_ = loop_.now();
+  heard_ = progressed_ = began_ = loop_.now();
   stream_ = std::make_shared<Stream>(loop_, address_, kConnectTimeout, static_cast<Stream::Owner&>(*this),
                                      Rank::news);
   watch_silence();
@@ -50,10 +52,12 @@
 
 void Coordinator::watch_silence() {
   if (timer_) loop_.cancel(*timer_);
-  timer_ = loop_.at(heard_ + kLongestSilence, [this] {
+  const Time due = std::min(heard_ + kLongestSilence, progressed_ + kLongestWithoutProgress);
+  timer_ = loop_.at(due, [this] {
     timer_.reset();
-    if (loop_.now() - heard_ < kLongestSilence) return watch_silence();
-    retry("silent");
+    if (loop_.now() - heard_ >= kLongestSilence) return retry("silent");
+    if (loop_.now() - progressed_ >= kLongestWithoutProgress) return retry("trickles");
+    watch_silence();
   });
 }
 
@@ -136,6 +140,7 @@
   if (part_ == Part::headers) {
     if (line.empty()) {
       part_ = chunked_ ? Part::chunk_size : Part::body;
+      progressed_ = loop_.now();
       return true;
     }
     const auto colon = line.find(':');
@@ -161,6 +166,7 @@
     if (line_.size() > kLongestLine || data_.size() > kLongestLine) return false;
     if (length == std::string_view::npos) return true;
     bytes.remove_prefix(length + 1);
+    progressed_ = loop_.now();
     if (!line_.empty() && line_.back() == '\r') line_.pop_back();
     if (!event_line(std::exchange(line_, {}))) return false;
   }
--- a/src/net/coordinator.hpp
+++ b/src/net/coordinator.hpp
@@ -49,8 +49,9 @@
   std::size_t chunk_left_ = 0;
   std::string line_{};  // of the event stream, as far as it has come
   std::string data_{};
-  Time heard_{};
-  Time began_{};  // of the stream
+  Time heard_{};       // the last bytes
+  Time progressed_{};  // the end of the head, or the last whole line of events
+  Time began_{};       // of the stream
   Duration backoff_{};
   std::optional<Loop::TimerId> timer_{};
 };
--- a/tests/endings_test.cpp
+++ b/tests/endings_test.cpp
@@ -437,6 +437,54 @@
   hears(third, "Last-Event-ID: 5\r\n");
 }
 
+// A response that comes a byte a second, its head or an event of its body, is given up in time: what
+// discovery has to tell counts as told 6 s after it could be reached.
+TEST_F(Program, AResponseOfDiscoveryThatTricklesIsGivenUpWithinSixSeconds) {
+  const std::string head = "HTTP/1.1 200 OK\r\n\r\n";
+  const std::string event = "data: {\"index\":5,\"endpoints\":{\"hosts\":[]}}\n\n";
+  for (const bool whole_head : {false, true}) {
+    const HeldClock held;
+    Listener at;
+    std::uint64_t told = 4;
+    const Coordinator coordinator(loop, log, at.address(), 4,
+                                  [&](const FleetNews& news) { told = news.index; });
+    Peer first, second;
+    until([&] { return static_cast<bool>(first = at.accept()); }, "the first");
+    hears(first, "Last-Event-ID: 4\r\n");
+    if (whole_head) first.say(head);
+    const std::string trickled = whole_head ? event : head + event;
+    for (std::size_t i = 0; i < 5 && !first.ended(); ++i) {
+      first.say(trickled.substr(i, 1));
+      settle(3);
+      moved_on += milliseconds(1000);
+      settle(3);
+    }
+    until([&] { return static_cast<bool>(second = at.accept()); }, "the second");
+    second.say(head + event);
+    until([&] { return told == 5; }, "event 5");
+  }
+}
+
+// A large list that takes its time, a comment between, is no such response.
+TEST_F(Program, ASlowResponseOfDiscoveryThatGoesOnIsReadOn) {
+  const HeldClock held;
+  Listener at;
+  std::uint64_t told = 4;
+  const Coordinator coordinator(loop, log, at.address(), 4,
+                                [&](const FleetNews& news) { told = news.index; });
+  Peer stream;
+  until([&] { return static_cast<bool>(stream = at.accept()); }, "the stream");
+  for (const char* part :
+       {"HTTP/1.1 200 OK\r\n", "\r\n:", " \ndata: {\"index\":5,\"endpoints\":", "{\"hosts\":[]}}\n\n"}) {
+    stream.say(part);
+    settle(3);
+    moved_on += milliseconds(1500);
+    settle(3);
+  }
+  EXPECT_EQ(told, 5u);
+  EXPECT_FALSE(stream.ended());
+}
+
 // Idle callers hold all descriptors while discovery is down: the watch gets one of theirs.
 TEST_F(Program, IdleCallersGiveADescriptorToTheWatch) {
   const HeldClock held;
