A release that overtakes its answer ends the call: told within a second, never sent again

Cause: a server works answers and releases off in line and the release (cause 16) may arrive before the answer, also on the set-up's own connection. Change: such a call is over. Its answer is awaited for 700 ms, then passed on with the end behind it; if it does not come, or the attempt ends otherwise, the call fails at once. It is never sent again. Within 250 ms of a retry's departure the release still counts as the earlier attempt's: no call is over so soon.

--- a/src/core/attempt.hpp
+++ b/src/core/attempt.hpp
@@ -23,6 +23,7 @@
 enum class AttemptState : std::uint8_t {
   none,         // no attempt: the call waits for a server or behind the release guard
   scheduled,    // leaves at the end of this pass
+  just_sent,    // as sent, so short ago that no call set up by it can be over
   sent,         // handed to the server side, no answer yet
   established,  // answered: the call stands at the server
 };
@@ -31,7 +32,7 @@
   answer,   // the call stands
   refusal,  // the set-up is turned away: causes 17, 34, 47, 102 and unknown ones
   reset,    // cause 41: the set-up broke on its way, or a call that stood was cut
-  release,  // cause 16: a call that stood has come to its end; never the answer to a set-up
+  release,  // cause 16: a call that stood has come to its end; it may overtake the answer of its set-up
 };
 
 // The connection that a message came on: that of the set-up which is out, or another to the same server.
@@ -49,8 +50,7 @@
   answered,          // the call stands
   refused,           // the attempt is over
   give_up,           // of this attempt or of an earlier one, nobody can tell: end the attempt at the server
-  answer_lost,       // the attempt's call came and went, its answer will not come any more
-  ended_early,       // the attempt's call is over before its answer was seen: answer it, then end it
+  ended_early,       // the attempt's call is over and its answer is still to come
   ended,             // the call that stood is over
   ended_and_release  // it is over, or an earlier one is: end it at the server as well
 };
@@ -96,12 +96,13 @@
       {S::sent, refusal, kOther, kAnyEarlier, V::ignore, "an earlier attempt's: another connection"},
       {S::sent, reset, kOwn, kNone, V::refused, "reset"},
       {S::sent, reset, kOwn, kAnyEarlier, V::give_up, "this attempt's or an earlier one's"},
-      {S::sent, reset, kOther, kNone, V::refused, "reset"},
+      {S::sent, reset, kOther, kNone, V::ended_early, "over, its answer is still to come"},
       {S::sent, reset, kOther, kAnyEarlier, V::ignore, "an earlier attempt's: another connection"},
-      {S::sent, release, kOwn, kNone, V::answer_lost, "over, and no answer came before it"},
-      {S::sent, release, kOther, kNone, V::ended_early, "the answer is still to come"},
-      {S::sent, release, kAnyConnection, kAnyEarlier, V::ignore,
-       "an earlier attempt's: this one has no answer"},
+      {S::just_sent, release, kAnyConnection, kLost, V::ignore,
+       "an earlier attempt's: this one has just left"},
+      {S::just_sent, release, kAnyConnection, kGivenUp, V::ignore,
+       "an earlier attempt's: this one has just left"},
+      {S::sent, release, kAnyConnection, kAnyEarlier, V::ended_early, "over, its answer is still to come"},
 
       {S::established, answer, kAnyConnection, kAnyEarlier, V::ignore, "the call stands there already"},
       {S::established, refusal, kOther, kLost, V::ignore, "an earlier attempt's: another connection"},
@@ -118,7 +119,9 @@
 constexpr std::optional<MessageRule> find_rule(AttemptState state, ServerMessage message,
                                                Connection connection, Earlier earlier) {
   for (const MessageRule& rule : kMessageRules) {
-    const bool matches = rule.state == state && rule.message == message &&
+    const bool same_state =
+        rule.state == state || (rule.state == AttemptState::sent && state == AttemptState::just_sent);
+    const bool matches = same_state && rule.message == message &&
                          rule.connection.value_or(connection) == connection &&
                          rule.earlier.value_or(earlier) == earlier;
     if (matches) return rule;
@@ -127,8 +130,8 @@
 }
 
 constexpr bool every_message_is_decided() {
-  for (const auto state :
-       {AttemptState::none, AttemptState::scheduled, AttemptState::sent, AttemptState::established})
+  for (const auto state : {AttemptState::none, AttemptState::scheduled, AttemptState::just_sent,
+                           AttemptState::sent, AttemptState::established})
     for (const auto message :
          {ServerMessage::answer, ServerMessage::refusal, ServerMessage::reset, ServerMessage::release})
       for (const auto connection : {Connection::own, Connection::other})
@@ -138,6 +141,11 @@
 }
 static_assert(every_message_is_decided());
 
+// No call is over so shortly after its set-up has left.
+inline constexpr Duration kShortestCall = std::chrono::milliseconds(250);
+// How long the answer of a call that is over is waited for: its caller hears of the end within 1 s of it.
+inline constexpr Duration kAnswerAfterEnd = std::chrono::milliseconds(700);
+
 // What earlier attempts of one call left open, by server.
 class EarlierAttempts {
  public:
--- a/src/core/planner.cpp
+++ b/src/core/planner.cpp
@@ -193,16 +193,38 @@
     settle(*exchange);
     tally_.refused(exchange->request().call_class);
     exchange->refuse(*away);
-    deliver(CallCancelled{call});
-    if (Exchange* const left = find(call); left && !left->attempt) erase(call);
+    withdraw(call);
   }
 }
 
+void Planner::answer_without_server(Exchange& exchange) {
+  const CallId call = exchange.request().call;
+  if (exchange.attempts > 0) {
+    answer_failed(exchange);
+  } else {
+    settle(exchange);
+    tally_.refused(exchange.request().call_class);
+    exchange.refuse(kRetryAfterWhenFull);
+  }
+  withdraw(call);
+}
+
+void Planner::answer_failed(Exchange& exchange) {
+  settle(exchange);
+  tally_.failed(exchange.request().call_class);
+  exchange.fail(Failure::error);
+}
+
 void Planner::cancel(CallId call) {
   Exchange* const exchange = find(call);
   if (!exchange || !exchange->owed()) return;
   settle(*exchange);
   exchange->close();
+  withdraw(call);
+}
+
+// The call needs no more attempts: its caller has left, or has its answer.
+void Planner::withdraw(CallId call) {
   deliver(CallCancelled{call});
   Exchange* const left = find(call);
   if (!left) return;
@@ -267,10 +289,11 @@
 
 namespace {
 
-AttemptState state_of(const Exchange& exchange, bool set_up_is_out) {
+AttemptState state_of(const Exchange& exchange, bool set_up_is_out, Time now) {
   if (!exchange.attempt) return AttemptState::none;
   if (exchange.stands()) return AttemptState::established;
-  return exchange.attempt->left && set_up_is_out ? AttemptState::sent : AttemptState::scheduled;
+  if (!exchange.attempt->left || !set_up_is_out) return AttemptState::scheduled;
+  return now - exchange.attempt->sent < kShortestCall ? AttemptState::just_sent : AttemptState::sent;
 }
 
 ServerMessage message_of(const ServerLine& line) {
@@ -284,16 +307,21 @@
 bool Planner::told_of_attempt(Exchange& exchange, const ServerId& server, ServerLine line,
                               MessageOrigin origin) {
   const CallId call = line.call;
-  const MessageRule rule = *find_rule(state_of(exchange, origin.set_up_is_out), message_of(line),
+  const MessageRule rule = *find_rule(state_of(exchange, origin.set_up_is_out, loop_.now()), message_of(line),
                                       origin.connection, exchange.earlier.at(server));
   const Ending over = line.why == cause::kNormal ? Ending::completed : Ending::reset;
+  if (rule.verdict == Verdict::refused || rule.verdict == Verdict::give_up) {
+    log_message(
+        server, line,
+        origin.connection == Connection::own ? "on the set-up's connection" : "on another connection");
+  }
   switch (rule.verdict) {
     case Verdict::ignore:
       ignore(server, line, rule.reason);
       return false;
     case Verdict::ended_early:
-      ignore(server, line, rule.reason);
-      exchange.attempt->ended_early = true;
+      log_message(server, line, rule.reason);
+      await_answer_of_ended_call(exchange);
       return false;
     case Verdict::answered:
       answered(exchange, std::move(line));
@@ -301,9 +329,6 @@
     case Verdict::refused:
       attempt_ended(exchange, refusal_of(line.why), cause_of(line.note), parse_load(line.load));
       return true;
-    case Verdict::answer_lost:
-      attempt_ended(exchange, Ending::reset, Cause::connection_lost, parse_load(line.load));
-      return true;
     case Verdict::give_up:
       give_up(exchange);
       return true;
@@ -334,6 +359,18 @@
   if (attempt.ended_early) end_standing(line.call, Ending::completed, cause::kNormal, {});
 }
 
+// What has stood and is over is told within 1 s: answered and ended if the answer still comes, else failed.
+void Planner::await_answer_of_ended_call(Exchange& exchange) {
+  if (std::exchange(exchange.attempt->ended_early, true)) return;
+  const CallId call = exchange.request().call;
+  loop_.at(loop_.now() + kAnswerAfterEnd, [this, call, number = exchange.attempt->number] {
+    Exchange* const ended = find(call);
+    if (!ended || !ended->attempt || ended->attempt->number != number || ended->stands()) return;
+    log_.call_line("call %s: over before its answer came", call_text(call).c_str());
+    answer_without_server(*ended);
+  });
+}
+
 // The server may have meant this attempt or an earlier one. Ended from here, it is over either way.
 void Planner::give_up(Exchange& exchange) {
   servers_.end(exchange.attempt->server, exchange.request().call, cause::kNormal);
@@ -412,11 +449,15 @@
   waiting_bytes_ -= exchange.request().description.size();
 }
 
+void Planner::log_message(const ServerId& server, const ServerLine& line, const char* meaning) {
+  log_.call_line("call %s: %s cause %d of %s: %s", call_text(line.call).c_str(),
+                 line.op == ServerOp::accept ? "answer" : "release", line.why, server_text(server).c_str(),
+                 meaning);
+}
+
 void Planner::ignore(const ServerId& server, const ServerLine& line, const char* reason) {
   ++tally_.messages_ignored;
-  log_.call_line("call %s: %s cause %d of %s ignored: %s", call_text(line.call).c_str(),
-                 line.op == ServerOp::accept ? "answer" : "release", line.why, server_text(server).c_str(),
-                 reason);
+  log_message(server, line, (std::string("ignored, ") + reason).c_str());
 }
 
 void Planner::erase(CallId call) {
@@ -434,6 +475,7 @@
 void Planner::attempt_ended(Exchange& exchange, Ending ending, Cause cause, const LoadReport& report) {
   const CallId call = exchange.request().call;
   const Exchange::Attempt attempt = *std::exchange(exchange.attempt, std::nullopt);
+  if (attempt.ended_early && exchange.owed()) answer_failed(exchange);
   const bool settled = !exchange.owed();
   exchange.timed_out = ending == Ending::timed_out;
   exchange.earlier.ended(attempt.server, ending);
@@ -520,6 +562,8 @@
   Exchange* const exchange = find(action.call);
   if (!exchange || !exchange->attempt || exchange->attempt->number != action.attempt || exchange->stands())
     return;
+  // Its call is over: the answer is waited for, and the call is not to be sent again.
+  if (exchange->attempt->ended_early && exchange->owed()) return;
   if (exchange->attempt->left) servers_.end(exchange->attempt->server, action.call, cause::kNormal);
   attempt_ended(*exchange, Ending::cancelled);
 }
--- a/src/core/planner.hpp
+++ b/src/core/planner.hpp
@@ -81,14 +81,21 @@
   bool told_of_attempt(Exchange& exchange, const ServerId& server, ServerLine line, MessageOrigin origin);
   void answered(Exchange& exchange, ServerLine line);
   void give_up(Exchange& exchange);
+  void await_answer_of_ended_call(Exchange& exchange);
+  // The final answer to a call that is owed one and gets none from a server: refused if no attempt was made,
+  // else failed. An attempt that is out is called off.
+  void answer_without_server(Exchange& exchange);
+  void answer_failed(Exchange& exchange);
 
   void deliver(Event event);
   void pump();
   bool send_due();
   void attempt_ended(Exchange& exchange, Ending ending, Cause cause = Cause::none,
                      const LoadReport& report = {});
+  void withdraw(CallId call);
   void watch_deadline(const Exchange& exchange, Time at);
   void end_standing(CallId call, Ending ending, int cause, const LoadReport& report);
+  void log_message(const ServerId& server, const ServerLine& line, const char* meaning);
   // Logs and counts a server's message that belongs to no live attempt.
   void ignore(const ServerId& server, const ServerLine& line, const char* reason);
   void erase(CallId call);
