Ends at silent servers: the time since the last sign is kept for each call, by its connection

Cause: Servers kept one quiet clock for a server. Any whole line, on whichever connection, reset it, and so did the flag that a new connection had not come up; a test connection was skipped where all four connections had set-ups out. A test connection takes the place of the quietest one. Only the calls without a sign are given up. Servers knows which calls stand on which connection, so Owner::awaits_end is gone. Tests: ACallOnASilentConnectionIsToldOverAlthoughAnotherBringsReports and ...AlthoughNoNewOneComesUp failed before, pass now.

--- a/src/core/planner.cpp
+++ b/src/core/planner.cpp
@@ -250,15 +250,15 @@
 
 // ---- The server side
 
-bool Planner::told_of_call(const ServerId& server, ServerLine line, MessageOrigin origin) {
+SetUpOutcome Planner::told_of_call(const ServerId& server, ServerLine line, MessageOrigin origin) {
   Exchange* const exchange = find(line.call);
   if (!exchange) {
     told_of_unknown_call(server, line);
-    return false;
+    return SetUpOutcome::open;
   }
   if (exchange->attempt && exchange->attempt->server != server) {
     told_by_another_server(*exchange, server, line);
-    return false;
+    return SetUpOutcome::open;
   }
   return told_of_attempt(*exchange, server, std::move(line), origin);
 }
@@ -304,8 +304,8 @@
 
 }  // namespace
 
-bool Planner::told_of_attempt(Exchange& exchange, const ServerId& server, ServerLine line,
-                              MessageOrigin origin) {
+SetUpOutcome Planner::told_of_attempt(Exchange& exchange, const ServerId& server, ServerLine line,
+                                      MessageOrigin origin) {
   const CallId call = line.call;
   const MessageRule rule = *find_rule(state_of(exchange, origin.set_up_is_out, loop_.now()), message_of(line),
                                       origin.connection, exchange.earlier.at(server));
@@ -318,37 +318,37 @@
   switch (rule.verdict) {
     case Verdict::ignore:
       ignore(server, line, rule.reason);
-      return false;
+      return SetUpOutcome::open;
     case Verdict::ended_early:
       log_message(server, line, rule.reason);
       await_answer_of_ended_call(exchange);
-      return false;
+      return SetUpOutcome::open;
     case Verdict::answered:
-      answered(exchange, std::move(line));
-      return true;
+      return answered(exchange, std::move(line));
     case Verdict::refused:
       attempt_ended(exchange, refusal_of(line.why), cause_of(line.note), parse_load(line.load));
-      return true;
+      return SetUpOutcome::settled;
     case Verdict::give_up:
       give_up(exchange);
-      return true;
+      return SetUpOutcome::settled;
     case Verdict::ended:
       end_standing(call, over, line.why, parse_load(line.load));
-      return true;
+      return SetUpOutcome::settled;
     case Verdict::ended_and_release:
       servers_.end(server, call, cause::kNormal);
       end_standing(call, over, line.why, parse_load(line.load));
-      return true;
+      return SetUpOutcome::settled;
   }
-  return false;
+  return SetUpOutcome::open;
 }
 
-void Planner::answered(Exchange& exchange, ServerLine line) {
+SetUpOutcome Planner::answered(Exchange& exchange, ServerLine line) {
   const Exchange::Attempt attempt = *exchange.attempt;
   if (!exchange.owed()) {
     // Its caller has left: nobody will ever use the call.
     servers_.end(attempt.server, line.call, cause::kNormal);
-    return attempt_ended(exchange, Ending::cancelled);
+    attempt_ended(exchange, Ending::cancelled);
+    return SetUpOutcome::settled;
   }
   settle(exchange);
   if (gate_) gate_->answered(exchange.request(), loop_.now());
@@ -356,7 +356,9 @@
   exchange.answer(std::move(line.description));
   deliver(SetupStood{line.call, attempt.number, attempt.server, loop_.now() - attempt.sent});
   if (!line.load.empty()) told(attempt.server, parse_load(line.load));
-  if (attempt.ended_early) end_standing(line.call, Ending::completed, cause::kNormal, {});
+  if (!attempt.ended_early) return SetUpOutcome::established;
+  end_standing(line.call, Ending::completed, cause::kNormal, {});
+  return SetUpOutcome::settled;
 }
 
 // What has stood and is over is told within 1 s: answered and ended if the answer still comes, else failed.
@@ -399,12 +401,6 @@
   return found;
 }
 
-bool Planner::awaits_end(const ServerId& server) const {
-  return std::any_of(calls_.begin(), calls_.end(), [&](const auto& each) {
-    return each.second.stands() && each.second.attempt->server == server;
-  });
-}
-
 void Planner::died(const ServerId& server) {
   const std::vector<CallId> cut = standing_at(server);
   if (cut.empty()) return;
@@ -413,10 +409,9 @@
 }
 
 // Some may stand there still: they are released, should it be there again.
-void Planner::cut_off(const ServerId& server) {
-  const std::vector<CallId> cut = standing_at(server);
-  log_.line("server %s: silent, %zu calls cut", server_text(server).c_str(), cut.size());
-  for (const CallId call : cut) {
+void Planner::cut_off(const ServerId& server, const std::vector<CallId>& calls) {
+  log_.line("server %s: silent, %zu calls cut", server_text(server).c_str(), calls.size());
+  for (const CallId call : calls) {
     servers_.end(server, call, cause::kTemporary);
     end_standing(call, Ending::reset, cause::kTemporary, {});
   }
@@ -493,6 +488,7 @@
   Exchange* const exchange = find(call);
   const Exchange::Attempt attempt = *exchange->attempt;
   exchange->over(cause);
+  servers_.call_over(attempt.server, call);
   erase(call);
   deliver(AttemptEnded{call, attempt.number, attempt.server, loop_.now() - attempt.sent, ending, Cause::none,
                        true, std::nullopt, report});
--- a/src/core/planner.hpp
+++ b/src/core/planner.hpp
@@ -66,20 +66,20 @@
  private:
   using Calls = std::unordered_map<CallId, Exchange>;
 
-  bool told_of_call(const ServerId& server, ServerLine line, MessageOrigin origin) override;
+  SetUpOutcome told_of_call(const ServerId& server, ServerLine line, MessageOrigin origin) override;
   void broke(const ServerId& server, CallId call, unsigned attempt, Break how) override;
   void told(const ServerId& server, const LoadReport& report) override;
   void died(const ServerId& server) override;
-  bool awaits_end(const ServerId& server) const override;
-  void cut_off(const ServerId& server) override;
+  void cut_off(const ServerId& server, const std::vector<CallId>& calls) override;
   std::vector<CallId> standing_at(const ServerId& server) const;
 
   // The steps of told_of_call: for a call that is not known here, one whose attempt is at another server, and
   // one whose attempt is at this server.
   void told_of_unknown_call(const ServerId& server, const ServerLine& line);
   void told_by_another_server(const Exchange& exchange, const ServerId& server, const ServerLine& line);
-  bool told_of_attempt(Exchange& exchange, const ServerId& server, ServerLine line, MessageOrigin origin);
-  void answered(Exchange& exchange, ServerLine line);
+  SetUpOutcome told_of_attempt(Exchange& exchange, const ServerId& server, ServerLine line,
+                               MessageOrigin origin);
+  SetUpOutcome answered(Exchange& exchange, ServerLine line);
   void give_up(Exchange& exchange);
   void await_answer_of_ended_call(Exchange& exchange);
   // The final answer to a call that is owed one and gets none from a server: refused if no attempt was made,
--- a/src/net/servers.cpp
+++ b/src/net/servers.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <cstring>
 #include <set>
+#include <tuple>
 #include <utility>
 
 namespace quartzarch {
@@ -22,8 +23,9 @@
 constexpr Duration kSilentBesideOthers = milliseconds(150);
 constexpr Duration kOvertakenBy = milliseconds(50);
 constexpr Duration kSilentAltogether = milliseconds(3000);
-// Callers hear within 8 s of a call's end although its server could tell nobody. A server at which calls
-// stand is tested by a new connection once it has said nothing for so long, and given up if none comes up.
+// Callers hear within 8 s of a call's end although its server could tell nobody. Where a connection that
+// would bring the end of a call has been silent for so long, a new one is opened; if none comes up, the call
+// is given up.
 constexpr Duration kQuietUntilTested = milliseconds(4500);
 constexpr Duration kTestAgain = milliseconds(500);
 constexpr Duration kQuietUntilCutOff = milliseconds(6700);
@@ -80,13 +82,13 @@
   if (watch_timer_) loop_.cancel(*watch_timer_);
   for (auto& [id, link] : links_) {
     if (link.refresh) loop_.cancel(*link.refresh);
-    for (Lane& lane : link.lanes) close_lane(lane);
+    for (Lane& lane : link.lanes) close_lane(link, lane);
   }
 }
 
 Servers::Link& Servers::link(const ServerId& server) {
   const auto [found, fresh] = links_.try_emplace(server);
-  if (fresh) found->second.heard = loop_.now();
+  if (fresh) found->second.opened = loop_.now();
   found->second.server = server;
   return found->second;
 }
@@ -147,7 +149,7 @@
   Link gone = std::move(found->second);
   links_.erase(found);
   if (gone.refresh) loop_.cancel(*gone.refresh);
-  for (Lane& lane : gone.lanes) close_lane(lane);
+  for (Lane& lane : gone.lanes) close_lane(gone, lane);
   for (Lane& lane : gone.lanes) {
     for (const auto& [call, set_up] : lane.out) owner_.broke(server, call, set_up.attempt, Break::sent);
   }
@@ -156,7 +158,8 @@
   }
 }
 
-void Servers::close_lane(Lane& lane) {
+void Servers::close_lane(Link& link, Lane& lane) {
+  link.standing.merge(std::exchange(lane.standing, {}));
   if (lane.retry) loop_.cancel(*std::exchange(lane.retry, std::nullopt));
   if (!lane.stream) return;
   lane.stream->close();
@@ -286,7 +289,7 @@
   if (!at.link) return;
   at.lane->backoff = Duration{0};
   at.link->broken = false;
-  at.link->heard = loop_.now();
+  at.link->opened = loop_.now();
   at.link->doubted = false;
   for (const Waiting& what : std::exchange(at.link->waiting, {})) write(*at.link, *at.lane, what);
 }
@@ -305,8 +308,6 @@
     at.lane->cut_short.reset();
     at.lane->given_up.reset();
     at.lane->heard = loop_.now();
-    at.link->heard = loop_.now();
-    at.link->doubted = false;
     auto line = length <= kLongestMessage ? parse_server_line(input.substr(0, length)) : std::nullopt;
     if (!line) return lose(stream, "malformed line");
     stream.consume(length + 1);
@@ -322,7 +323,17 @@
   MessageOrigin origin;
   for (const Lane& lane : at.link->lanes) origin.set_up_is_out |= lane.out.count(call) > 0;
   if (at.lane->out.count(call) > 0) origin.connection = Connection::own;
-  if (owner_.told_of_call(server, std::move(line), origin)) settle(server, call);
+  const SetUpOutcome outcome = owner_.told_of_call(server, std::move(line), origin);
+  if (outcome == SetUpOutcome::open) return;
+  settle(server, call);
+  if (outcome == SetUpOutcome::established) at.lane->standing.insert(call);
+}
+
+void Servers::call_over(const ServerId& server, CallId call) {
+  const auto found = links_.find(server);
+  if (found == links_.end()) return;
+  found->second.standing.erase(call);
+  for (Lane& lane : found->second.lanes) lane.standing.erase(call);
 }
 
 void Servers::settle(const ServerId& server, CallId call) {
@@ -370,6 +381,7 @@
   if (stream.came_up()) {
     const auto out = std::exchange(at.lane->out, {});
     const auto ended = std::exchange(at.lane->ended, {});
+    at.link->standing.merge(std::exchange(at.lane->standing, {}));
     log_.line("server %s: connection %s, %zu set-ups out", server_text(server).c_str(),
               how == Lost::reset ? "reset" : "closed", out.size());
     at.link->broken = true;
@@ -433,23 +445,58 @@
   watch_timer_ = loop_.at(loop_.now() + kWatch, [this] { watch(); });
 }
 
+// Up to then a release of any call that stands there without a connection of its own has been heard: the
+// server may say it on any connection that is open.
+Time Servers::latest_sign_for_all(const Link& link) const {
+  std::optional<Time> oldest;
+  for (const Lane& lane : link.lanes) {
+    if (lane.up()) oldest = std::min(oldest.value_or(lane.heard), lane.heard);
+  }
+  return std::max(oldest.value_or(link.opened), link.opened);
+}
+
+// Calls whose end may have been said, and not heard, for so long: nothing came on the connection that would
+// bring it, and none was opened, on which it would be said again.
+std::vector<CallId> Servers::silent_for(const Link& link, Duration silence) const {
+  const Time since = loop_.now() - silence;
+  std::vector<CallId> calls;
+  for (const Lane& lane : link.lanes) {
+    if (std::max(lane.heard, link.opened) <= since)
+      calls.insert(calls.end(), lane.standing.begin(), lane.standing.end());
+  }
+  if (latest_sign_for_all(link) <= since)
+    calls.insert(calls.end(), link.standing.begin(), link.standing.end());
+  return calls;
+}
+
+bool Servers::test_is_due(const Link& link) const {
+  const bool on_its_way = std::any_of(link.lanes.begin(), link.lanes.end(),
+                                      [](const Lane& lane) { return lane.stream && !lane.up(); });
+  return !on_its_way && !silent_for(link, kQuietUntilTested).empty();
+}
+
+// The place of a connection that is not there, else of the quietest, best one without set-ups on it.
+Servers::Lane* Servers::lane_for_test(Link& link) {
+  const auto rank = [](const Lane& lane) {
+    return std::tuple(lane.stream != nullptr, !lane.out.empty(), lane.heard);
+  };
+  return &*std::min_element(link.lanes.begin(), link.lanes.end(),
+                            [&](const Lane& a, const Lane& b) { return rank(a) < rank(b); });
+}
+
 // An open connection that is quiet tells nothing: its server may have nothing to say, or its machine be gone
 // or cut off. There no new connection comes up either.
 void Servers::look_for_life(Link& link) {
-  const Time now = loop_.now();
-  const Duration quiet = now - link.heard;
-  if (quiet < kQuietUntilTested || now - link.tested < kTestAgain) return;
-  link.tested = now;
-  if (!owner_.awaits_end(link.server)) return;
-  if (link.doubted && quiet >= kQuietUntilCutOff) return owner_.cut_off(link.server);
-  Lane* spare = nullptr;
-  for (Lane& lane : link.lanes) {
-    if (lane.stream && !lane.up()) return;  // one is on its way
-    if ((!spare || spare->stream) && (!lane.stream || lane.out.empty())) spare = &lane;
+  if (loop_.now() - link.tested < kTestAgain) return;
+  if (link.doubted) {
+    const std::vector<CallId> cut = silent_for(link, kQuietUntilCutOff);
+    if (!cut.empty()) owner_.cut_off(link.server, cut);
   }
-  if (!spare) return;  // all have set-ups out: their silence is watched
-  close_lane(*spare);
-  connect(link, *spare);
+  if (!test_is_due(link)) return;
+  link.tested = loop_.now();
+  Lane& lane = *lane_for_test(link);
+  if (lane.up()) return lose(*lane.stream, "silent, tested by a new connection");
+  connect(link, lane);
 }
 
 }  // namespace quartzarch
--- a/src/net/servers.hpp
+++ b/src/net/servers.hpp
@@ -6,6 +6,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -33,6 +34,13 @@
   Connection connection = Connection::other;
 };
 
+// What a server's message meant for the set-up that is out.
+enum class SetUpOutcome {
+  open,         // nothing: it is still out
+  settled,      // it is not waited for any more
+  established,  // settled, and the call stands
+};
+
 // How a set-up was lost: with a connection that broke before it left whole, or after (it may have run), or
 // for want of any connection.
 enum class Break { unsent, sent, unreachable };
@@ -42,18 +50,16 @@
   class Owner {
    public:
     virtual ~Owner() = default;
-    // An answer, refusal or release. True if it settles the set-up that is out, which is not waited for any
-    // more.
-    virtual bool told_of_call(const ServerId& server, ServerLine line, MessageOrigin origin) = 0;
+    // An answer, refusal or release.
+    virtual SetUpOutcome told_of_call(const ServerId& server, ServerLine line, MessageOrigin origin) = 0;
     // The set-up of an attempt was lost on the way.
     virtual void broke(const ServerId& server, CallId call, unsigned attempt, Break how) = 0;
     virtual void told(const ServerId& server, const LoadReport& report) = 0;
     // Its process is gone, and with it every call there.
     virtual void died(const ServerId& server) = 0;
-    // Whether a call stands there whose end is still to be heard.
-    virtual bool awaits_end(const ServerId& server) const = 0;
-    // Its machine is silent and lets no connection come up: no end of a call there can be heard.
-    virtual void cut_off(const ServerId& server) = 0;
+    // Calls that stand there and whose end could not be heard any more: the connections that would bring it
+    // are silent and no new one comes up.
+    virtual void cut_off(const ServerId& server, const std::vector<CallId>& calls) = 0;
   };
 
   Servers(Loop& loop, Logger& log, Owner& owner, Duration connect_timeout)
@@ -76,6 +82,8 @@
   void end(const ServerId& server, CallId call, int cause);
   // Whether a set-up had not begun to leave; it does not any more.
   bool take_back(const ServerId& server, CallId call);
+  // A call that stood there is over: its end is not awaited any more.
+  void call_over(const ServerId& server, CallId call);
   // No release waits to be written.
   bool idle() const;
   // Releases a call that may stand anywhere.
@@ -103,6 +111,7 @@
   struct Lane {
     std::shared_ptr<Stream> stream{};
     std::map<CallId, SetUp> out{};
+    std::set<CallId> standing{};                   // calls that were answered on it and are not over
     std::deque<std::pair<Time, Waiting>> ended{};  // releases written a short while ago
     Time heard{};                                  // the last whole line
     std::optional<Time> given_up{};   // since then: when a set-up was sent that was overtaken and given up
@@ -116,10 +125,11 @@
   };
   struct Link {
     ServerId server{};
-    Time answered_to{};    // when the latest of the set-ups that were answered had been sent
-    Time heard{};          // the last whole line, or a connection that came up
-    Time tested{};         // the last connection made for want of any sign of life
-    bool doubted = false;  // since then a connection did not come up
+    Time answered_to{};           // when the latest of the set-ups that were answered had been sent
+    std::set<CallId> standing{};  // calls that stand there and whose connection is gone
+    Time opened{};         // the last connection that came up: on it what was over by then is said again
+    Time tested{};         // the last connection made because another was silent
+    bool doubted = false;  // since the last one came up one did not
     std::array<Lane, kLanes> lanes{};
     std::vector<Waiting> waiting{};  // until a connection is up
     bool kept = false;
@@ -149,9 +159,13 @@
   void handle(const Place& at, ServerLine line);
   void lose(Stream& stream, const char* why);
   void refresh_soon(Link& link);
-  void close_lane(Lane& lane);
+  void close_lane(Link& link, Lane& lane);
   void watch();
+  bool test_is_due(const Link& link) const;
+  std::vector<CallId> silent_for(const Link& link, Duration silence) const;
+  Time latest_sign_for_all(const Link& link) const;
   void look_for_life(Link& link);
+  Lane* lane_for_test(Link& link);
 
   Loop& loop_;
   Logger& log_;
--- a/tests/attempt_identity_test.cpp
+++ b/tests/attempt_identity_test.cpp
@@ -202,12 +202,13 @@
 // A release of the first attempt that is read after the retry would end the retry: both go on one connection.
 TEST_F(RetriedCall, ARetryFollowsTheReleaseOfTheAttemptBeforeOnItsConnection) {
   struct Nobody : Servers::Owner {
-    bool told_of_call(const ServerId&, ServerLine, MessageOrigin) override { return true; }
+    SetUpOutcome told_of_call(const ServerId&, ServerLine, MessageOrigin) override {
+      return SetUpOutcome::settled;
+    }
     void broke(const ServerId&, CallId, unsigned, Break) override {}
     void told(const ServerId&, const LoadReport&) override {}
     void died(const ServerId&) override {}
-    bool awaits_end(const ServerId&) const override { return false; }
-    void cut_off(const ServerId&) override {}
+    void cut_off(const ServerId&, const std::vector<CallId>&) override {}
   } owner;
   Servers servers(loop, log, owner, milliseconds(500));
   const ServerId id = host(listener, 0).entry.id;
--- a/tests/endings_test.cpp
+++ b/tests/endings_test.cpp
@@ -37,6 +37,21 @@
   std::vector<Fd> fillers_;
 };
 
+// Connections that nobody accepts, until the kernel lets none come up any more.
+class FullBacklog {
+ public:
+  explicit FullBacklog(const sockaddr_in& at) {
+    for (pollfd up{-1, POLLOUT, 0}; line_.empty() || ::poll(&up, 1, 50) == 1; up.fd = line_.back().get()) {
+      line_.emplace_back(::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0));
+      ::connect(line_.back().get(), reinterpret_cast<const sockaddr*>(&at), sizeof at);
+      up.fd = line_.back().get();
+    }
+  }
+
+ private:
+  std::vector<Fd> line_;
+};
+
 // ---- A caller that leaves
 
 // The connection to the server comes up in the very pass in which the caller's closing is read.
@@ -120,12 +135,13 @@
 }
 
 struct Record : Servers::Owner {
-  bool told_of_call(const ServerId&, ServerLine, MessageOrigin) override { return true; }
+  SetUpOutcome told_of_call(const ServerId&, ServerLine, MessageOrigin) override {
+    return SetUpOutcome::settled;
+  }
   void broke(const ServerId&, CallId, unsigned, Break) override { ++broken; }
   void told(const ServerId&, const LoadReport&) override {}
   void died(const ServerId&) override { ++dead; }
-  bool awaits_end(const ServerId&) const override { return false; }
-  void cut_off(const ServerId&) override { ++dead; }
+  void cut_off(const ServerId&, const std::vector<CallId>&) override { ++dead; }
   int broken = 0, dead = 0;
 };
 
@@ -350,14 +366,52 @@
   open_server();
   Peer gateway = caller();
   stand(gateway);
-  std::vector<Fd> line;  // connections that nobody accepts, until the kernel lets none come up any more
-  const sockaddr_in at = listener.address();
-  for (pollfd up{-1, POLLOUT, 0}; line.empty() || ::poll(&up, 1, 50) == 1; up.fd = line.back().get()) {
-    line.emplace_back(::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0));
-    ::connect(line.back().get(), reinterpret_cast<const sockaddr*>(&at), sizeof at);
-    up.fd = line.back().get();
+  const FullBacklog full(listener.address());
+  for (int half_seconds = 0; half_seconds < 16; ++half_seconds) {
+    moved_on += milliseconds(500);
+    settle(5);
+  }
+  EXPECT_EQ(count(gateway.heard(), binary(12, 0xaa).substr(2)), 1u);
+}
+
+// One connection is silent, another to the same server brings reports: what ended on the silent one is said
+// again on the next connection that is opened, so one has to be.
+TEST_F(Program, ACallOnASilentConnectionIsToldOverAlthoughAnotherBringsReports) {
+  const HeldClock held;
+  open_server();
+  Peer gateway = caller(), other;
+  gateway.say(setup(0xaa, "d"));
+  hears(server, kId);
+  gateway.say(setup(0xbb, "d"));
+  until([&] { return static_cast<bool>(other = listener.accept()); }, "a second connection");
+  server.say(line("accept", kId, "\"desc\":\"s\""));
+  hears(gateway, answered(0xaa));
+  Peer fresh;
+  for (int half_seconds = 0; half_seconds < 16 && !fresh; ++half_seconds) {
+    other.say("{\"op\":\"group\",\"call\":\"\",\"with\":{\"load\":\"queue:0\"}}\n");
+    moved_on += milliseconds(500);
+    settle(5);
+    fresh = listener.accept();
   }
+  ASSERT_TRUE(static_cast<bool>(fresh)) << "no connection was opened within 8 s";
+  fresh.say(line("end", kId, "\"why\":16"));
+  hears(gateway, binary(12, 0xaa, {{208, "\x10"}}));
+}
+
+// The same where new connections do not come up: the caller hears within 8 s.
+TEST_F(Program, ACallOnASilentConnectionIsToldOverAlthoughNoNewOneComesUp) {
+  const HeldClock held;
+  open_server();
+  Peer gateway = caller(), other;
+  gateway.say(setup(0xaa, "d"));
+  hears(server, kId);
+  gateway.say(setup(0xbb, "d"));
+  until([&] { return static_cast<bool>(other = listener.accept()); }, "a second connection");
+  server.say(line("accept", kId, "\"desc\":\"s\""));
+  hears(gateway, answered(0xaa));
+  const FullBacklog full(listener.address());
   for (int half_seconds = 0; half_seconds < 16; ++half_seconds) {
+    other.say("{\"op\":\"group\",\"call\":\"\",\"with\":{\"load\":\"queue:0\"}}\n");
     moved_on += milliseconds(500);
     settle(5);
   }
