A reset that comes late may be the cut of a call that stood: it is not sent again

The server's line held the answer back. Change: a reset means that the set-up broke on its way for 500 ms; after that the answer is awaited for 700 ms and passed on with the end behind it, else the call fails. The same for a reset on another connection, where no refusal can come. The table's rules take the age of the attempt in place of a state of its own.

--- a/src/core/attempt.hpp
+++ b/src/core/attempt.hpp
@@ -23,11 +23,27 @@
 enum class AttemptState : std::uint8_t {
   none,         // no attempt: the call waits for a server or behind the release guard
   scheduled,    // leaves at the end of this pass
-  just_sent,    // as sent, so short ago that no call set up by it can be over
   sent,         // handed to the server side, no answer yet
   established,  // answered: the call stands at the server
 };
 
+// No call is over so shortly after its set-up has left.
+inline constexpr Duration kShortestCall = std::chrono::milliseconds(250);
+// A set-up that breaks on its way is reset within this time.
+inline constexpr Duration kLongestReset = std::chrono::milliseconds(500);
+
+// How long an attempt has been out.
+enum class Age : std::uint8_t {
+  new_attempt,     // under kShortestCall: no call set up by it can be over
+  recent_attempt,  // a reset means that the set-up broke on its way
+  old_attempt,     // from kLongestReset on: a reset may also mean that the call stood and was cut
+};
+
+constexpr Age age_of(Duration out_for) {
+  if (out_for < kShortestCall) return Age::new_attempt;
+  return out_for < kLongestReset ? Age::recent_attempt : Age::old_attempt;
+}
+
 enum class ServerMessage : std::uint8_t {
   answer,   // the call stands
   refusal,  // the set-up is turned away: causes 17, 34, 47, 102 and unknown ones
@@ -60,6 +76,7 @@
   ServerMessage message;
   std::optional<Connection> connection;  // absent: any
   std::optional<Earlier> earlier;        // absent: any
+  std::optional<Age> age;                // absent: any
   Verdict verdict;
   const char* reason;  // for the log
 };
@@ -71,78 +88,80 @@
   using V = Verdict;
   constexpr auto kAnyConnection = std::optional<Connection>{};
   constexpr auto kAnyEarlier = std::optional<Earlier>{};
+  constexpr auto kAnyAge = std::optional<Age>{};
+  constexpr auto kNew = std::optional(Age::new_attempt);
+  constexpr auto kOld = std::optional(Age::old_attempt);
   constexpr auto kOwn = std::optional(Connection::own);
   constexpr auto kOther = std::optional(Connection::other);
   constexpr auto kNone = std::optional(Earlier::none);
   constexpr auto kLost = std::optional(Earlier::connection_lost);
   constexpr auto kGivenUp = std::optional(Earlier::given_up);
   return std::to_array<MessageRule>({
-      {S::none, answer, kAnyConnection, kAnyEarlier, V::ignore, "no attempt is out"},
-      {S::none, refusal, kAnyConnection, kAnyEarlier, V::ignore, "no attempt is out"},
-      {S::none, reset, kAnyConnection, kAnyEarlier, V::ignore, "no attempt is out"},
-      {S::none, release, kAnyConnection, kAnyEarlier, V::ignore, "no attempt is out"},
-
-      {S::scheduled, answer, kAnyConnection, kAnyEarlier, V::ignore, "the attempt has not left"},
-      {S::scheduled, refusal, kAnyConnection, kAnyEarlier, V::ignore, "the attempt has not left"},
-      {S::scheduled, reset, kAnyConnection, kAnyEarlier, V::ignore, "the attempt has not left"},
-      {S::scheduled, release, kAnyConnection, kAnyEarlier, V::ignore, "the attempt has not left"},
-
-      {S::sent, answer, kOwn, kAnyEarlier, V::answered, "answered"},
-      {S::sent, answer, kOther, kNone, V::answered, "answered"},
-      {S::sent, answer, kOther, kAnyEarlier, V::ignore, "an earlier attempt's: another connection"},
-      {S::sent, refusal, kOwn, kGivenUp, V::give_up, "this attempt's or an earlier one's"},
-      {S::sent, refusal, kOwn, kAnyEarlier, V::refused, "refused"},
-      {S::sent, refusal, kOther, kNone, V::refused, "refused"},
-      {S::sent, refusal, kOther, kAnyEarlier, V::ignore, "an earlier attempt's: another connection"},
-      {S::sent, reset, kOwn, kNone, V::refused, "reset"},
-      {S::sent, reset, kOwn, kAnyEarlier, V::give_up, "this attempt's or an earlier one's"},
-      {S::sent, reset, kOther, kNone, V::ended_early, "over, its answer is still to come"},
-      {S::sent, reset, kOther, kAnyEarlier, V::ignore, "an earlier attempt's: another connection"},
-      {S::just_sent, release, kAnyConnection, kLost, V::ignore,
+      {S::none, answer, kAnyConnection, kAnyEarlier, kAnyAge, V::ignore, "no attempt is out"},
+      {S::none, refusal, kAnyConnection, kAnyEarlier, kAnyAge, V::ignore, "no attempt is out"},
+      {S::none, reset, kAnyConnection, kAnyEarlier, kAnyAge, V::ignore, "no attempt is out"},
+      {S::none, release, kAnyConnection, kAnyEarlier, kAnyAge, V::ignore, "no attempt is out"},
+      {S::scheduled, answer, kAnyConnection, kAnyEarlier, kAnyAge, V::ignore, "the attempt has not left"},
+      {S::scheduled, refusal, kAnyConnection, kAnyEarlier, kAnyAge, V::ignore, "the attempt has not left"},
+      {S::scheduled, reset, kAnyConnection, kAnyEarlier, kAnyAge, V::ignore, "the attempt has not left"},
+      {S::scheduled, release, kAnyConnection, kAnyEarlier, kAnyAge, V::ignore, "the attempt has not left"},
+      {S::sent, answer, kOwn, kAnyEarlier, kAnyAge, V::answered, "answered"},
+      {S::sent, answer, kOther, kNone, kAnyAge, V::answered, "answered"},
+      {S::sent, answer, kOther, kAnyEarlier, kAnyAge, V::ignore, "an earlier attempt's: another connection"},
+      {S::sent, refusal, kOwn, kGivenUp, kAnyAge, V::give_up, "this attempt's or an earlier one's"},
+      {S::sent, refusal, kOwn, kAnyEarlier, kAnyAge, V::refused, "refused"},
+      {S::sent, refusal, kOther, kNone, kAnyAge, V::refused, "refused"},
+      {S::sent, refusal, kOther, kAnyEarlier, kAnyAge, V::ignore, "an earlier attempt's: another connection"},
+      {S::sent, reset, kOwn, kNone, kOld, V::ended_early, "over, its answer is still to come"},
+      {S::sent, reset, kOwn, kNone, kAnyAge, V::refused, "reset"},
+      {S::sent, reset, kOwn, kAnyEarlier, kAnyAge, V::give_up, "this attempt's or an earlier one's"},
+      {S::sent, reset, kOther, kNone, kAnyAge, V::ended_early, "over, its answer is still to come"},
+      {S::sent, reset, kOther, kAnyEarlier, kAnyAge, V::ignore, "an earlier attempt's: another connection"},
+      {S::sent, release, kAnyConnection, kLost, kNew, V::ignore,
        "an earlier attempt's: this one has just left"},
-      {S::just_sent, release, kAnyConnection, kGivenUp, V::ignore,
+      {S::sent, release, kAnyConnection, kGivenUp, kNew, V::ignore,
        "an earlier attempt's: this one has just left"},
-      {S::sent, release, kAnyConnection, kAnyEarlier, V::ended_early, "over, its answer is still to come"},
-
-      {S::established, answer, kAnyConnection, kAnyEarlier, V::ignore, "the call stands there already"},
-      {S::established, refusal, kOther, kLost, V::ignore, "an earlier attempt's: another connection"},
-      {S::established, refusal, kOther, kGivenUp, V::ignore, "an earlier attempt's: another connection"},
-      {S::established, refusal, kAnyConnection, kNone, V::ended, "over"},
-      {S::established, refusal, kAnyConnection, kAnyEarlier, V::ended_and_release, "over"},
-      {S::established, reset, kAnyConnection, kNone, V::ended, "over"},
-      {S::established, reset, kAnyConnection, kAnyEarlier, V::ended_and_release, "over"},
-      {S::established, release, kAnyConnection, kNone, V::ended, "over"},
-      {S::established, release, kAnyConnection, kAnyEarlier, V::ended_and_release, "over"},
+      {S::sent, release, kAnyConnection, kAnyEarlier, kAnyAge, V::ended_early,
+       "over, its answer is still to come"},
+      {S::established, answer, kAnyConnection, kAnyEarlier, kAnyAge, V::ignore,
+       "the call stands there already"},
+      {S::established, refusal, kOther, kLost, kAnyAge, V::ignore,
+       "an earlier attempt's: another connection"},
+      {S::established, refusal, kOther, kGivenUp, kAnyAge, V::ignore,
+       "an earlier attempt's: another connection"},
+      {S::established, refusal, kAnyConnection, kNone, kAnyAge, V::ended, "over"},
+      {S::established, refusal, kAnyConnection, kAnyEarlier, kAnyAge, V::ended_and_release, "over"},
+      {S::established, reset, kAnyConnection, kNone, kAnyAge, V::ended, "over"},
+      {S::established, reset, kAnyConnection, kAnyEarlier, kAnyAge, V::ended_and_release, "over"},
+      {S::established, release, kAnyConnection, kNone, kAnyAge, V::ended, "over"},
+      {S::established, release, kAnyConnection, kAnyEarlier, kAnyAge, V::ended_and_release, "over"},
   });
 }();
 
 constexpr std::optional<MessageRule> find_rule(AttemptState state, ServerMessage message,
-                                               Connection connection, Earlier earlier) {
+                                               Connection connection, Earlier earlier, Age age) {
   for (const MessageRule& rule : kMessageRules) {
-    const bool same_state =
-        rule.state == state || (rule.state == AttemptState::sent && state == AttemptState::just_sent);
-    const bool matches = same_state && rule.message == message &&
+    const bool matches = rule.state == state && rule.message == message &&
                          rule.connection.value_or(connection) == connection &&
-                         rule.earlier.value_or(earlier) == earlier;
+                         rule.earlier.value_or(earlier) == earlier && rule.age.value_or(age) == age;
     if (matches) return rule;
   }
   return std::nullopt;
 }
 
 constexpr bool every_message_is_decided() {
-  for (const auto state : {AttemptState::none, AttemptState::scheduled, AttemptState::just_sent,
-                           AttemptState::sent, AttemptState::established})
+  for (const auto state :
+       {AttemptState::none, AttemptState::scheduled, AttemptState::sent, AttemptState::established})
     for (const auto message :
          {ServerMessage::answer, ServerMessage::refusal, ServerMessage::reset, ServerMessage::release})
       for (const auto connection : {Connection::own, Connection::other})
         for (const auto earlier : {Earlier::none, Earlier::connection_lost, Earlier::given_up})
-          if (!find_rule(state, message, connection, earlier)) return false;
+          for (const auto age : {Age::new_attempt, Age::recent_attempt, Age::old_attempt})
+            if (!find_rule(state, message, connection, earlier, age)) return false;
   return true;
 }
 static_assert(every_message_is_decided());
 
-// No call is over so shortly after its set-up has left.
-inline constexpr Duration kShortestCall = std::chrono::milliseconds(250);
 // How long the answer of a call that is over is waited for: its caller hears of the end within 1 s of it.
 inline constexpr Duration kAnswerAfterEnd = std::chrono::milliseconds(700);
 
--- a/src/core/exchange.hpp
+++ b/src/core/exchange.hpp
@@ -17,8 +17,9 @@
     unsigned number = 0;
     ServerId server{};
     Time sent{};
-    bool left = false;         // handed to the server side
-    bool ended_early = false;  // the server has said that it is over, its answer is still to come
+    bool left = false;  // handed to the server side
+    // The cause with which the server has said that its call is over, while its answer is still to come.
+    std::optional<int> ended_early{};
   };
 
   Exchange(Request request, Front& front) : request_(std::move(request)), front_(&front) {}
--- a/src/core/planner.cpp
+++ b/src/core/planner.cpp
@@ -289,11 +289,10 @@
 
 namespace {
 
-AttemptState state_of(const Exchange& exchange, bool set_up_is_out, Time now) {
+AttemptState state_of(const Exchange& exchange, bool set_up_is_out) {
   if (!exchange.attempt) return AttemptState::none;
   if (exchange.stands()) return AttemptState::established;
-  if (!exchange.attempt->left || !set_up_is_out) return AttemptState::scheduled;
-  return now - exchange.attempt->sent < kShortestCall ? AttemptState::just_sent : AttemptState::sent;
+  return exchange.attempt->left && set_up_is_out ? AttemptState::sent : AttemptState::scheduled;
 }
 
 ServerMessage message_of(const ServerLine& line) {
@@ -307,8 +306,9 @@
 SetUpOutcome Planner::told_of_attempt(Exchange& exchange, const ServerId& server, ServerLine line,
                                       MessageOrigin origin) {
   const CallId call = line.call;
-  const MessageRule rule = *find_rule(state_of(exchange, origin.set_up_is_out, loop_.now()), message_of(line),
-                                      origin.connection, exchange.earlier.at(server));
+  const Duration out_for = exchange.attempt ? loop_.now() - exchange.attempt->sent : Duration{0};
+  const MessageRule rule = *find_rule(state_of(exchange, origin.set_up_is_out), message_of(line),
+                                      origin.connection, exchange.earlier.at(server), age_of(out_for));
   const Ending over = line.why == cause::kNormal ? Ending::completed : Ending::reset;
   if (rule.verdict == Verdict::refused || rule.verdict == Verdict::give_up) {
     log_message(
@@ -321,7 +321,7 @@
       return SetUpOutcome::open;
     case Verdict::ended_early:
       log_message(server, line, rule.reason);
-      await_answer_of_ended_call(exchange);
+      await_answer_of_ended_call(exchange, line.why);
       return SetUpOutcome::open;
     case Verdict::answered:
       return answered(exchange, std::move(line));
@@ -357,13 +357,14 @@
   deliver(SetupStood{line.call, attempt.number, attempt.server, loop_.now() - attempt.sent});
   if (!line.load.empty()) told(attempt.server, parse_load(line.load));
   if (!attempt.ended_early) return SetUpOutcome::established;
-  end_standing(line.call, Ending::completed, cause::kNormal, {});
+  const Ending over = *attempt.ended_early == cause::kNormal ? Ending::completed : Ending::reset;
+  end_standing(line.call, over, *attempt.ended_early, {});
   return SetUpOutcome::settled;
 }
 
 // What has stood and is over is told within 1 s: answered and ended if the answer still comes, else failed.
-void Planner::await_answer_of_ended_call(Exchange& exchange) {
-  if (std::exchange(exchange.attempt->ended_early, true)) return;
+void Planner::await_answer_of_ended_call(Exchange& exchange, int cause) {
+  if (std::exchange(exchange.attempt->ended_early, cause)) return;
   const CallId call = exchange.request().call;
   loop_.at(loop_.now() + kAnswerAfterEnd, [this, call, number = exchange.attempt->number] {
     Exchange* const ended = find(call);
--- a/src/core/planner.hpp
+++ b/src/core/planner.hpp
@@ -81,7 +81,7 @@
                                MessageOrigin origin);
   SetUpOutcome answered(Exchange& exchange, ServerLine line);
   void give_up(Exchange& exchange);
-  void await_answer_of_ended_call(Exchange& exchange);
+  void await_answer_of_ended_call(Exchange& exchange, int cause);
   // The final answer to a call that is owed one and gets none from a server: refused if no attempt was made,
   // else failed. An attempt that is out is called off.
   void answer_without_server(Exchange& exchange);
--- a/tests/attempt_identity_test.cpp
+++ b/tests/attempt_identity_test.cpp
@@ -163,6 +163,28 @@
   EXPECT_EQ(count(gateway.heard(), kAnswered.substr(2)), 0u);
 }
 
+// After so long a reset may be the cut of a call whose answer is still in the server's line: no attempt
+// elsewhere.
+TEST_F(RetriedCall, ALateResetOfASlowServerIsNotSentAgain) {
+  const HeldClock held;
+  planner->news({1, true, {host(listener, 0), host(second, 1)}});
+  until([&] { return static_cast<bool>(server = listener.accept()); }, "the server's connection");
+  until([&] { return static_cast<bool>(other = second.accept()); }, "the other server's connection");
+  settle(3);
+  gateway = caller();
+  gateway.say(setup(0xaa, "d"));
+  hears(server, "offer");
+  moved_on += milliseconds(900);
+  settle(3);
+  server.say(line("end", kId, "\"why\":41"));
+  settle(3);
+  moved_on += milliseconds(600);
+  settle(3);
+  server.say(line("accept", kId, "\"desc\":\"s\""));
+  hears(gateway, kAnswered + binary(12, 0xaa, {{208, std::string(1, 41)}}));
+  EXPECT_EQ(other.heard(), "");
+}
+
 // The attempt ends otherwise while the answer is waited for: still told, and still not sent again.
 TEST_F(RetriedCall, ACallThatIsOverBeforeItsAnswerIsNotSentAgainWhenItsConnectionBreaks) {
   planner->news({1, true, {host(listener, 0), host(second, 1)}});
@@ -184,15 +206,17 @@
 // The table itself, where a whole conversation would only repeat it.
 TEST(MessageRules, WhatAnEarlierAttemptMayHaveSentNeverSettlesALaterOneUnasked) {
   const auto verdict = [](ServerMessage message, Connection connection, Earlier earlier) {
-    return find_rule(AttemptState::sent, message, connection, earlier)->verdict;
+    return find_rule(AttemptState::sent, message, connection, earlier, Age::recent_attempt)->verdict;
   };
   for (const Earlier earlier : {Earlier::connection_lost, Earlier::given_up}) {
     for (const ServerMessage message :
          {ServerMessage::answer, ServerMessage::refusal, ServerMessage::reset}) {
       EXPECT_EQ(verdict(message, Connection::other, earlier), Verdict::ignore);
     }
-    EXPECT_EQ(find_rule(AttemptState::just_sent, ServerMessage::release, Connection::own, earlier)->verdict,
-              Verdict::ignore);
+    EXPECT_EQ(
+        find_rule(AttemptState::sent, ServerMessage::release, Connection::own, earlier, Age::new_attempt)
+            ->verdict,
+        Verdict::ignore);
     EXPECT_EQ(verdict(ServerMessage::reset, Connection::own, earlier), Verdict::give_up);
   }
   EXPECT_EQ(verdict(ServerMessage::refusal, Connection::own, Earlier::given_up), Verdict::give_up);
