A stop follows from the deployment's deadlines and ends before the earliest SIGKILL

Cause: a stop went by constants: new set-ups were refused from 2.5 s on whatever the deadlines, and the process ended only in an instant with nothing owed, which clients that never rest do not leave it. With a longest deadline of 0.5 s SIGKILL may come 1.2 s after SIGTERM. Change: StopSchedule derives the phases from the longest deadline and the longest aim in force: until when set-ups are taken, by when all are answered, by when the process ends. The process ends its side of callers' connections and reads on for 50 ms, so that unread bytes reset no answer. Planners and forwarders of the two levels go by the same schedule. The three tests of Drain::stop name a schedule now and assert what they did.

--- a/src/core/drain.hpp
+++ b/src/core/drain.hpp
@@ -4,6 +4,7 @@
 
 #include <optional>
 
+#include "core/stop.hpp"
 #include "quartzarch/controller.hpp"
 
 namespace quartzarch {
@@ -20,15 +21,15 @@
     told_ = false;
     since_.reset();
   }
-  // SIGTERM: not ready for good, and drained from then on unless it was already.
-  void stop(Time now) {
-    stopping_ = true;
+  // SIGTERM came at `now`: not ready for good, and drained from then on unless it was already.
+  void stop(Time now, const StopSchedule& schedule) {
+    stop_refuses_from_ = now + schedule.refuse_from();
     begin(now);
   }
 
   bool draining() const { return since_.has_value(); }
   // GET /v1/readyz: yes only while not drained and the servers are known.
-  bool ready(bool servers_known) const { return servers_known && !since_ && !stopping_; }
+  bool ready(bool servers_known) const { return servers_known && !since_ && !stop_refuses_from_; }
 
   // A test on the callers' own port, by which the front finds out ten times a second whether to send new
   // connections: failed by an operator's drain. A process that stops passes it: beside it one on the same
@@ -41,12 +42,15 @@
   // that are empty.
   std::optional<Duration> quiet_allowed(Time now) const {
     if (!since_) return std::nullopt;
+    if (stop_refuses(now)) return Duration{0};
     return now - *since_ < kEmptyBy ? kQuiet : Duration{0};
   }
 
   // From kRefuseFrom on, new requests are refused at once with kRetryAfter, so that what is open can be
-  // emptied and closed before 4 s are over even on a connection that its client never stops using.
+  // emptied and closed before 4 s are over even on a connection that its client never stops using. A stop has
+  // less time: its schedule says from when on.
   std::optional<Duration> refuses(Time now) const {
+    if (stop_refuses(now)) return kRetryAfter;
     if (!since_ || now - *since_ < kRefuseFrom) return std::nullopt;
     return kRetryAfter;
   }
@@ -69,8 +73,10 @@
     if (!since_) since_ = now;
   }
   std::optional<Time> since_{};
+  bool stop_refuses(Time now) const { return stop_refuses_from_ && now >= *stop_refuses_from_; }
+
   bool told_ = false;  // by an operator
-  bool stopping_ = false;
+  std::optional<Time> stop_refuses_from_{};
 };
 
 }  // namespace quartzarch
--- a/src/core/planner.cpp
+++ b/src/core/planner.cpp
@@ -197,16 +197,30 @@
   }
 }
 
-void Planner::answer_without_server(Exchange& exchange) {
-  const CallId call = exchange.request().call;
-  if (exchange.attempts > 0) {
-    answer_failed(exchange);
-  } else {
-    settle(exchange);
-    tally_.refused(exchange.request().call_class);
-    exchange.refuse(kRetryAfterWhenFull);
+Duration Planner::longest_aim() const { return longest_aim_of(start_.settings.classes); }
+
+// The controller hears nothing of it: what it still decides about these calls finds none, and each event
+// would have it look at all calls that it holds.
+void Planner::answer_owed() {
+  std::vector<CallId> owed;
+  for (const auto& [call, exchange] : calls_) {
+    if (exchange.owed()) owed.push_back(call);
+  }
+  std::sort(owed.begin(), owed.end());
+  for (const CallId call : owed) {
+    Exchange& exchange = *find(call);
+    answer_without_server(exchange);
+    if (exchange.attempt && exchange.attempt->left)
+      servers_.end(exchange.attempt->server, call, cause::kNormal);
+    erase(call);
   }
-  withdraw(call);
+}
+
+void Planner::answer_without_server(Exchange& exchange) {
+  if (exchange.attempts > 0) return answer_failed(exchange);
+  settle(exchange);
+  tally_.refused(exchange.request().call_class);
+  exchange.refuse(kRetryAfterWhenFull);
 }
 
 void Planner::answer_failed(Exchange& exchange) {
@@ -371,6 +385,7 @@
     if (!ended || !ended->attempt || ended->attempt->number != number || ended->stands()) return;
     log_.call_line("call %s: over before its answer came", call_text(call).c_str());
     answer_without_server(*ended);
+    withdraw(call);
   });
 }
 
--- a/src/core/planner.hpp
+++ b/src/core/planner.hpp
@@ -42,6 +42,9 @@
   void drain_by(const Drain* drain) { drain_ = drain; }
   // Asks for every call that is held, no attempt of it out, and refuses what is turned away now.
   void reconsider(const std::function<std::optional<Duration>(const Request&)>& turns_away);
+  // Gives every call that is still owed its final answer: refused if no attempt was made, else failed. For a
+  // stop.
+  void answer_owed();
   // Hears of calls that were answered before this process started and are over now.
   void strays_to(Front& front) { strays_ = &front; }
 
@@ -49,6 +52,9 @@
   void cancel(CallId call) override;
   void release(CallId call, int cause) override;
   bool ready() const override { return listed_; }
+  // Of all classes, those taken at SIGHUP included.
+  Duration longest_deadline() const { return start_.longest_deadline; }
+  Duration longest_aim() const;
 
   // What setup servers are to hear has been written.
   bool idle() const { return servers_.idle(); }
@@ -83,7 +89,7 @@
   void give_up(Exchange& exchange);
   void await_answer_of_ended_call(Exchange& exchange, int cause);
   // The final answer to a call that is owed one and gets none from a server: refused if no attempt was made,
-  // else failed. An attempt that is out is called off.
+  // else failed.
   void answer_without_server(Exchange& exchange);
   void answer_failed(Exchange& exchange);
 
--- a/src/front/binary.cpp
+++ b/src/front/binary.cpp
@@ -196,6 +196,13 @@
                      [](const auto& item) { return item.second.unused() && !item.second.cut_short; });
 }
 
+void BinaryFront::end_connections() {
+  ending_ = true;
+  std::vector<std::shared_ptr<Stream>> streams;
+  for (const auto& [stream, connection] : connections_) streams.push_back(connection.stream);
+  for (const auto& stream : streams) stream->end_output();
+}
+
 // ---- Connections
 
 // At the limit callers wait in the kernel's line until there is room, or a connection that may be closed for
@@ -384,6 +391,7 @@
 }
 
 bool BinaryFront::take(Connection& from, std::string_view message) {
+  if (ending_) return true;
   const auto type = static_cast<Type>(message[0]);
   const CallId call = call_of(message.substr(1));
   const std::string_view parameters = message.substr(kHead);
--- a/src/front/binary.hpp
+++ b/src/front/binary.hpp
@@ -29,6 +29,10 @@
   void drain_by(const Drain& drain) { drain_ = &drain; }
   // Everything that is owed has been written.
   bool idle() const;
+  // The end of a stop: tells all callers that nothing more will come. A set-up that crosses this is not
+  // taken.
+  void end_connections();
+  bool no_connections() const { return connections_.empty(); }
 
   void answer(CallId call, std::string description) override;
   void refuse(CallId call, std::optional<Duration> retry_after) override;
@@ -82,6 +86,7 @@
   Loop::TimerId sweep_timer_ = 0;
   const Drain* drain_ = nullptr;
   bool held_told_ = false;            // of this drain
+  bool ending_ = false;               // connections are being ended
   std::set<const Stream*> carrying_;  // while it drains: connections with calls open or standing
   Connections connections_;
   std::unordered_map<CallId, const Stream*> calls_;  // open and standing ones, by the connection they came on
--- a/src/link/planners.cpp
+++ b/src/link/planners.cpp
@@ -75,6 +75,8 @@
 void Planners::request(Request request, Front& front) {
   const CallId call = request.call;
   if (calls_.count(call) > 0) return;  // a second set-up with the id of a call
+  if (const auto away = drain_ ? drain_->refuses(loop_.now()) : std::nullopt)
+    return front.refuse(call, *away);
   const auto planner = choose(call);
   // With no planner there is nobody to decide: the caller is told at once.
   if (!planner || calls_.size() >= kMostCalls) return front.refuse(call, kStayAwayWhenDown);
@@ -88,6 +90,25 @@
   if (found != calls_.end() && std::exchange(found->second.open, false)) --owed_;
 }
 
+std::vector<CallId> Planners::open_calls(std::optional<std::size_t> planner) const {
+  std::vector<CallId> open;
+  for (const auto& [call, known] : calls_) {
+    if (known.open && known.planner == planner.value_or(known.planner)) open.push_back(call);
+  }
+  std::sort(open.begin(), open.end());
+  return open;
+}
+
+void Planners::answer_owed() {
+  for (const CallId call : open_calls(std::nullopt)) {
+    const auto found = calls_.find(call);
+    if (found == calls_.end()) continue;
+    Front& front = *found->second.front;
+    cancel(call);
+    front.fail(call, Failure::error);
+  }
+}
+
 void Planners::cancel(CallId call) {
   const auto found = calls_.find(call);
   if (found == calls_.end() || !found->second.open) return;
@@ -198,12 +219,7 @@
     }
   }
   planner.retry = loop_.at(loop_.now() + kRetry, [this, at] { connect(at); });
-  std::vector<CallId> open;
-  for (const auto& [call, known] : calls_) {
-    if (known.planner == at && known.open) open.push_back(call);
-  }
-  std::sort(open.begin(), open.end());
-  for (const CallId call : open) {
+  for (const CallId call : open_calls(at)) {
     const auto found = calls_.find(call);
     if (found == calls_.end()) continue;
     Front& front = *found->second.front;
--- a/src/link/planners.hpp
+++ b/src/link/planners.hpp
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "core/calls.hpp"
+#include "core/drain.hpp"
 #include "link/message.hpp"
 #include "log.hpp"
 
@@ -19,6 +20,10 @@
 
   void strays_to(Front& front) { strays_ = &front; }
   std::size_t owed() const { return owed_; }
+  // Gives every call that is still owed its final answer, and takes it back at its planner. For a stop.
+  void answer_owed();
+  // While it drains, what it refuses is refused at once; it must outlive this, or null.
+  void drain_by(const Drain* drain) { drain_ = drain; }
 
   void request(Request request, Front& front) override;
   void cancel(CallId call) override;
@@ -49,6 +54,8 @@
   std::optional<std::size_t> choose(CallId call) const;
   void release_at(std::size_t planner, CallId call, int cause);
   void settle(CallId call);
+  // Calls that have no answer yet, of one planner or of all, in the order of their ids.
+  std::vector<CallId> open_calls(std::optional<std::size_t> planner) const;
 
   Loop& loop_;
   Logger& log_;
@@ -56,6 +63,7 @@
   std::unordered_map<CallId, Call> calls_;
   std::size_t owed_ = 0;
   Front* strays_ = nullptr;
+  const Drain* drain_ = nullptr;
 };
 
 // Of `count` planners the one that the call belongs to, among those for which `up` holds; nothing if none is.
--- a/src/net/stream.cpp
+++ b/src/net/stream.cpp
@@ -115,6 +115,11 @@
   if (state_ != State::dead) die();
 }
 
+void Stream::end_output() {
+  if (state_ == State::up) flush();
+  if (state_ == State::up && output_.empty()) ::shutdown(fd_.get(), SHUT_WR);
+}
+
 void Stream::die() {
   state_ = State::dead;
   if (connect_timer_) loop_.cancel(*connect_timer_);
--- a/src/net/stream.hpp
+++ b/src/net/stream.hpp
@@ -66,6 +66,9 @@
   Time last_written() const { return last_written_; }
   // Writes what the socket takes at once, then closes.
   void close();
+  // Writes what the socket takes at once and, if that is all, tells the peer that nothing more will come.
+  // What the peer sends is read on, so that nothing unread resets the connection under what was written.
+  void end_output();
 
   int descriptor() const override { return fd_.get(); }
   short interest() const override;
--- a/src/serve.cpp
+++ b/src/serve.cpp
@@ -13,6 +13,7 @@
 #include "config.hpp"
 #include "core/drain.hpp"
 #include "core/planner.hpp"
+#include "core/stop.hpp"
 #include "front/binary.hpp"
 #include "front/management.hpp"
 #include "front/sip/front_config.hpp"
@@ -28,12 +29,14 @@
 
 using std::chrono::milliseconds;
 
-// After SIGTERM new connections come for up to 0.4 s, and requests on open ones for a further 0.2 s.
-constexpr Duration kLastArrivals = milliseconds(800);
 // New connections after SIGTERM are taken until then; beside an upgraded process what comes later goes to it.
 constexpr Duration kListenAfterStop = milliseconds(500);
 // For how long a stop waits, with nothing else owed, until setup servers have taken what they are to hear.
 constexpr Duration kLastReleases = milliseconds(1000);
+// A set-up that crosses the end of its connection by less than this is sent once more on another.
+constexpr Duration kCrossing = milliseconds(50);
+// How often a stopping process looks at its schedule.
+constexpr Duration kStopStep = milliseconds(10);
 // What gateways have for answering the last BYEs.
 constexpr Duration kLastByes = milliseconds(1000);
 
@@ -73,37 +76,61 @@
   void count_in(Tally& tally) { tally_ = &tally; }
   std::optional<Time> stop_came() const { return signals_.stop_came(); }
 
-  // `told`: setup servers have been told what they are to hear.
-  void run(const std::function<std::size_t()>& owed, const std::function<bool()>& idle,
-           const std::function<bool()>& told, const std::function<void(bool stopping)>& each_pass,
-           const Reload& reload) {
+  // What a serving process does at the steps of its life.
+  struct Served {
+    std::function<std::size_t()> owed;       // requests whose answer is still to come
+    std::function<bool()> idle;              // everything owed to callers has been written
+    std::function<bool()> told;              // setup servers have been told what they are to hear
+    std::function<void(bool)> each_pass;     // true: it is stopping
+    std::function<void()> answer_owed;       // the final answer to each request that has none yet
+    std::function<StopSchedule()> schedule;  // by the settings in force
+    std::function<void()> end_connections;   // callers hear that nothing more will come
+    std::function<bool()> no_connections;
+    Reload reload;
+  };
+
+  // From when on and until when a stop does what; absent: there is none.
+  std::optional<StopSchedule> schedule() const { return schedule_; }
+
+  void run(const Served& served) {
     if (certificates_) certificates_->begin();
-    const auto nothing_owed = [&] { return owed() == 0 && idle(); };
+    const auto nothing_owed = [&] { return served.owed() == 0 && served.idle(); };
     std::optional<Time> quiet_since;
-    for (bool announced = false;;) {
-      loop_.pass(signals_.stop_came() ? milliseconds(20) : milliseconds(1000));
-      if (signals_.take_reload()) read_again(reload);
+    for (;;) {
+      loop_.pass(signals_.stop_came() ? kStopStep : milliseconds(1000));
+      if (signals_.take_reload()) read_again(served.reload);
       const auto stop = signals_.stop_came();
-      each_pass(stop.has_value());
+      if (stop && !schedule_) begin_stop(served);
+      served.each_pass(stop.has_value());
       if (!stop) continue;
-      if (!std::exchange(announced, true)) {
-        log_.line("stopping: %zu calls owe their answer", owed());
-        if (certificates_) certificates_->stop();
-        if (extension_) extension_->stop();
-      }
-      if (loop_.now() - *stop < kLastArrivals || !nothing_owed()) {
+      const Duration since = loop_.now() - *stop;
+      if (since >= schedule_->answer_by()) served.answer_owed();
+      if (since >= schedule_->end_by()) break;
+      if (since < schedule_->last_arrivals() || !nothing_owed()) {
         quiet_since.reset();
         continue;
       }
       if (!quiet_since) quiet_since = loop_.now();
-      if (!told() && loop_.now() - *quiet_since < kLastReleases) continue;
+      if (!served.told() && loop_.now() - *quiet_since < kLastReleases) continue;
       // What came while the last pass was at work is taken too.
       loop_.pass(Duration{0});
       if (nothing_owed()) break;
     }
+    log_.line("connections of callers are ended, %zu calls owe their answer", served.owed());
+    served.end_connections();
+    for (const Time until = loop_.now() + kCrossing; !served.no_connections() && loop_.now() < until;) {
+      loop_.pass(kStopStep);
+    }
   }
 
  private:
+  void begin_stop(const Served& served) {
+    schedule_ = served.schedule();
+    log_.line("stopping: %zu calls owe their answer", served.owed());
+    if (certificates_) certificates_->stop();
+    if (extension_) extension_->stop();
+  }
+
   // All of it is taken or nothing: after a bad file everything goes on as it was.
   void read_again(const Reload& reload) {
     std::string reading = config_path_;
@@ -135,6 +162,7 @@
   Tally* tally_ = nullptr;
   std::string running_;  // the text of the file in force
   Signals signals_;
+  std::optional<StopSchedule> schedule_{};
 };
 
 // The second address: $NODE_MANAGEMENT, else "management" of the configuration, else none.
@@ -168,6 +196,8 @@
   void stop_listening() { binary_.stop_listening(); }
   void drain_by(const Drain& drain) { binary_.drain_by(drain); }
   bool idle() const { return binary_.idle(); }
+  void end_connections() { binary_.end_connections(); }
+  bool no_connections() const { return binary_.no_connections(); }
   // Nothing of a dialog outlives the process, so its calls are ended; on the platform's protocol they go on.
   void hang_up() {
     if (!sip_) return;
@@ -190,6 +220,13 @@
   return options.make_operation(loop, log, planner, *options.control, config.seed);
 }
 
+// A pass of a stopping process that has callers.
+void stop_step(const Loop& loop, const Service& service, Drain& drain, Fronts& fronts) {
+  const Time stop = *service.stop_came();
+  drain.stop(stop, *service.schedule());
+  if (loop.now() - stop >= kListenAfterStop) fronts.stop_listening();
+}
+
 void serve_alone(Loop& loop, Logger& log, Files& files, Service& service, const Config& config,
                  const ServeOptions& options, const std::optional<sip::FrontConfig>& sip) {
   Planner planner(loop, log, config.start, config.seed, bounds_of(config.limits));
@@ -210,19 +247,24 @@
   Coordinator coordinator(loop, log, config.coordinator, config.known_index,
                           [&planner](const FleetNews& news) { planner.news(news); });
   log.line("%s: serving at %s", config.name.c_str(), address_text(config.listen).c_str());
-  service.run([&] { return planner.owed(); }, [&] { return fronts.idle(); }, [&] { return planner.idle(); },
-              [&](bool stopping) {
-                if (!stopping) return;
-                const Time stop = *service.stop_came();
-                drain.stop(stop);
-                if (loop.now() - stop >= kListenAfterStop) fronts.stop_listening();
-              },
-              [&](const Config& fresh) {
-                coordinator.move(fresh.coordinator);
-                planner.limit(bounds_of(fresh.limits));
-                planner.resettle(fresh.start);
-                fronts.limit(fresh.limits);
-              });
+  service.run({.owed = [&] { return planner.owed(); },
+               .idle = [&] { return fronts.idle(); },
+               .told = [&] { return planner.idle(); },
+               .each_pass =
+                   [&](bool stopping) {
+                     if (stopping) stop_step(loop, service, drain, fronts);
+                   },
+               .answer_owed = [&] { planner.answer_owed(); },
+               .schedule = [&] { return StopSchedule(planner.longest_deadline(), planner.longest_aim()); },
+               .end_connections = [&] { fronts.end_connections(); },
+               .no_connections = [&] { return fronts.no_connections(); },
+               .reload =
+                   [&](const Config& fresh) {
+                     coordinator.move(fresh.coordinator);
+                     planner.limit(bounds_of(fresh.limits));
+                     planner.resettle(fresh.start);
+                     fronts.limit(fresh.limits);
+                   }});
   fronts.hang_up();
 }
 
@@ -242,15 +284,26 @@
                           [&planner](const FleetNews& news) { planner.news(news); });
   log.line("%s: planner %zu of %zu at %s", config.name.c_str(), index, planners.size(),
            address_text(planners[index]).c_str());
-  service.run([&] { return planner.owed(); }, [&] { return port.idle(); }, [&] { return planner.idle(); },
-              [&](bool stopping) {
-                if (stopping) port.stop();
-                port.tell_state();
-              },
-              [&](const Config& fresh) {
-                coordinator.move(fresh.coordinator);
-                planner.limit(bounds_of(fresh.limits));
-              });
+  Drain drain;
+  planner.drain_by(&drain);
+  service.run({.owed = [&] { return planner.owed(); },
+               .idle = [&] { return port.idle(); },
+               .told = [&] { return planner.idle(); },
+               .each_pass =
+                   [&](bool stopping) {
+                     if (stopping) drain.stop(*service.stop_came(), *service.schedule());
+                     if (stopping) port.stop();
+                     port.tell_state();
+                   },
+               .answer_owed = [&] { planner.answer_owed(); },
+               .schedule = [&] { return StopSchedule(planner.longest_deadline(), planner.longest_aim()); },
+               .end_connections = [] {},
+               .no_connections = [] { return true; },
+               .reload =
+                   [&](const Config& fresh) {
+                     coordinator.move(fresh.coordinator);
+                     planner.limit(bounds_of(fresh.limits));
+                   }});
 }
 
 void serve_as_forwarder(Loop& loop, Logger& log, Service& service, const Config& config,
@@ -261,8 +314,25 @@
   planners.strays_to(fronts.strays());
   log.line("%s: forwarding at %s to %zu planners", config.name.c_str(), address_text(config.listen).c_str(),
            addresses.size());
-  service.run([&] { return planners.owed(); }, [&] { return fronts.idle(); }, [] { return true; },
-              [](bool) {}, [&](const Config& fresh) { fronts.limit(fresh.limits); });
+  Drain drain;
+  fronts.drain_by(drain);
+  planners.drain_by(&drain);
+  service.run({.owed = [&] { return planners.owed(); },
+               .idle = [&] { return fronts.idle(); },
+               .told = [] { return true; },
+               .each_pass =
+                   [&](bool stopping) {
+                     if (stopping) stop_step(loop, service, drain, fronts);
+                   },
+               .answer_owed = [&] { planners.answer_owed(); },
+               .schedule =
+                   [&] {
+                     return StopSchedule(config.start.longest_deadline,
+                                         longest_aim_of(config.start.settings.classes));
+                   },
+               .end_connections = [&] { fronts.end_connections(); },
+               .no_connections = [&] { return fronts.no_connections(); },
+               .reload = [&](const Config& fresh) { fronts.limit(fresh.limits); }});
   fronts.hang_up();
 }
 
--- a/src/settings.cpp
+++ b/src/settings.cpp
@@ -118,6 +118,12 @@
 
 }  // namespace
 
+Duration longest_aim_of(const std::vector<CallClass>& classes) {
+  Duration longest{};
+  for (const CallClass& each : classes) longest = std::max(longest, each.aim);
+  return longest;
+}
+
 Duration from_ms(double ms) {
   constexpr double kTenYears = 10 * 365.0 * 86400e3;
   if (std::isnan(ms)) return Duration{0};
--- a/src/settings.hpp
+++ b/src/settings.hpp
@@ -21,6 +21,8 @@
   Duration longest_deadline{};  // of all classes
 };
 
+Duration longest_aim_of(const std::vector<CallClass>& classes);
+
 // What was wrong with the settings.
 struct SettingsError : std::runtime_error {
   using std::runtime_error::runtime_error;
--- a/tests/endings_test.cpp
+++ b/tests/endings_test.cpp
@@ -294,7 +294,7 @@
   gateway.say(whole.substr(0, 20));
   settle();
   EXPECT_FALSE(front->idle());
-  drain.stop(loop.now());
+  drain.stop(loop.now(), StopSchedule(std::chrono::seconds(9), milliseconds(1500)));
   moved_on += milliseconds(1600);
   settle();
   ASSERT_FALSE(gateway.ended());
--- a/tests/loopback.hpp
+++ b/tests/loopback.hpp
@@ -58,6 +58,11 @@
     EXPECT_EQ(::send(fd_.get(), bytes.data(), bytes.size(), MSG_NOSIGNAL),
               static_cast<ssize_t>(bytes.size()));
   }
+  // As say, where the other end may have gone.
+  void say_if_open(const std::string& bytes) const {
+    [[maybe_unused]] const ssize_t said = ::send(fd_.get(), bytes.data(), bytes.size(), MSG_NOSIGNAL);
+  }
+  int descriptor() const { return fd_.get(); }
   // Everything heard so far.
   const std::string& heard() {
     char bytes[65536];
--- a/tests/operations_test.cpp
+++ b/tests/operations_test.cpp
@@ -86,7 +86,9 @@
   EXPECT_EQ(test(), failed);
   post("/v1/call-controller/activate");
   EXPECT_EQ(test(), passed);
-  drain.stop(loop.now());  // beside it a process on the same address may be ready
+  drain.stop(loop.now(),
+             StopSchedule(std::chrono::seconds(9),
+                          milliseconds(1500)));  // beside it a process on the same address may be ready
   EXPECT_EQ(test(), passed);
 }
 
@@ -172,7 +174,7 @@
   drain.activate();
   EXPECT_TRUE(drain.ready(true));
   EXPECT_FALSE(drain.quiet_allowed(at));
-  drain.stop(at);
+  drain.stop(at, StopSchedule(std::chrono::seconds(9), milliseconds(1500)));
   drain.activate();
   EXPECT_FALSE(drain.ready(true));
 }
