Stop loop: the time since something was owed as a plain value

Cause: GCC warned of a maybe uninitialised optional in the optimised build. The value is the last time at which something was owed.

--- a/src/serve.cpp
+++ b/src/serve.cpp
@@ -95,7 +95,7 @@
   void run(const Served& served) {
     if (certificates_) certificates_->begin();
     const auto nothing_owed = [&] { return served.owed() == 0 && served.idle(); };
-    std::optional<Time> quiet_since;
+    Time last_owed = loop_.now();
     for (;;) {
       loop_.pass(signals_.stop_came() ? kStopStep : milliseconds(1000));
       if (signals_.take_reload()) read_again(served.reload);
@@ -107,11 +107,10 @@
       if (since >= schedule_->answer_by()) served.answer_owed();
       if (since >= schedule_->end_by()) break;
       if (since < schedule_->last_arrivals() || !nothing_owed()) {
-        quiet_since.reset();
+        last_owed = loop_.now();
         continue;
       }
-      if (!quiet_since) quiet_since = loop_.now();
-      if (!served.told() && loop_.now() - *quiet_since < kLastReleases) continue;
+      if (!served.told() && loop_.now() - last_owed < kLastReleases) continue;
       // What came while the last pass was at work is taken too.
       loop_.pass(Duration{0});
       if (nothing_owed()) break;
