--- a/review/standin.py
+++ b/review/standin.py
@@ -37,10 +37,19 @@
         self.file.flush()
 
 
+FIRST_PORT, LAST_PORT = 20000, 29999  # below the ports that the system gives to outgoing connections
+_given_ports = set()
+
+
 def free_port():
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
+    """A port that nothing listens at, and that no later connection gets by chance."""
+    while True:
+        port = random.SystemRandom().randint(FIRST_PORT, LAST_PORT)
+        with socket.socket() as probe, contextlib.suppress(OSError):
+            probe.bind(("127.0.0.1", port))
+            if port not in _given_ports:
+                _given_ports.add(port)
+                return port
 
 
 def run_command(root):
@@ -529,6 +538,9 @@
     programs = []
 
     async def bounded():
+        loop, this = asyncio.get_running_loop(), asyncio.current_task()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, this.cancel)
         try:
             return await asyncio.wait_for(case(record, root, trouble, programs), limit_s)
         finally:
@@ -538,7 +550,7 @@
     logging.getLogger("asyncio").setLevel(logging.CRITICAL)  # connections that are open when the run ends
     try:
         breaches = asyncio.run(bounded())
-    except Exception as error:  # the case could not run
+    except (Exception, asyncio.CancelledError) as error:  # the case could not run
         record("could not run: %r" % error)
         print("could not run: %r" % error)
         sys.exit(2)
