Ends of calls on a connection that was silent when it was closed are told

Change: such a connection is retired, not closed: this side stops sending and reads on until the server ends it too. Half lines and malformed lines take the same path.

Why it works: an end is said on the retired connection, which is read, or repeated on a connection opened after it, and one is opened until the server has ended the retired one.

--- a/src/net/servers.cpp
+++ b/src/net/servers.cpp
@@ -25,14 +25,12 @@
 constexpr Duration kOvertakenSilenceTimeout = milliseconds(150);
 constexpr Duration kOvertakenMargin = milliseconds(50);
 constexpr Duration kSilenceTimeout = milliseconds(3000);
-// Callers must learn of a call's end within 8 s even if its server could not report it. When the connection
-// that would carry the end of a call has been silent for kLivenessTestAfter, a new one is opened as a
-// liveness test, at most one per kLivenessTestInterval. If none comes up, the call is given up after
-// kUnreachableAfter.
-constexpr Duration kLivenessTestAfter = milliseconds(4500);
+// Callers must learn of a call's end within 8 s even if its server could not report it. When the end of a
+// call may be on its way for too long (EndTracker), a new connection is opened as a liveness test, at most
+// one per kLivenessTestInterval. If none comes up, the call is given up after kUnreachableAfter.
 constexpr Duration kLivenessTestInterval = milliseconds(500);
 constexpr Duration kUnreachableAfter = milliseconds(6700);
-// After this time the server has noticed that this process closed a connection and writes nothing more to it.
+// After this time a server that is not silent has noticed that this process closed a connection.
 constexpr Duration kCloseSettleTime = milliseconds(250);
 // How often all connections are checked for silence and incomplete lines.
 constexpr Duration kCheckInterval = milliseconds(50);
@@ -87,12 +85,12 @@
   for (auto& [id, state] : servers_) {
     if (state.replacement_timer) loop_.cancel(*state.replacement_timer);
     for (Connection& connection : state.connections) close_connection(state, connection);
+    for (Connection& connection : state.retired) close_connection(state, connection);
   }
 }
 
 Servers::ServerState& Servers::state_of(const ServerId& server) {
-  const auto [found, fresh] = servers_.try_emplace(server);
-  if (fresh) found->second.last_connected_at = loop_.now();
+  const auto [found, fresh] = servers_.try_emplace(server, loop_.now());
   found->second.server = server;
   return found->second;
 }
@@ -110,6 +108,9 @@
     for (Connection& connection : state.connections) {
       if (connection.stream.get() == &stream) return {&state, &connection};
     }
+    for (Connection& connection : state.retired) {
+      if (connection.stream.get() == &stream) return {&state, &connection};
+    }
   }
   return {};
 }
@@ -157,6 +158,7 @@
   servers_.erase(found);
   if (gone.replacement_timer) loop_.cancel(*gone.replacement_timer);
   for (Connection& connection : gone.connections) close_connection(gone, connection);
+  for (Connection& connection : gone.retired) close_connection(gone, connection);
   for (Connection& connection : gone.connections) {
     for (const auto& [call, set_up] : connection.in_flight)
       owner_.on_set_up_lost(server, call, set_up.attempt, SetUpLoss::sent);
@@ -168,7 +170,7 @@
 }
 
 void Servers::close_connection(ServerState& state, Connection& connection) {
-  state.orphaned_calls.merge(std::exchange(connection.established_calls, {}));
+  state.ends.connection_abandoned(connection.id);
   if (connection.retry) loop_.cancel(*std::exchange(connection.retry, std::nullopt));
   if (!connection.stream) return;
   connection.stream->close();
@@ -188,9 +190,10 @@
 void Servers::connect(ServerState& state, Connection& connection) {
   if (connection.stream) return;
   if (connection.retry) loop_.cancel(*std::exchange(connection.retry, std::nullopt));
+  connection.id = ++last_connection_id_;
   connection.partial_line_since.reset();
   connection.abandoned_since.reset();
-  connection.last_received = loop_.now();
+  connection.begun_at = connection.last_received = loop_.now();
   connection.stream = std::make_shared<Stream>(loop_, socket_address(state.server), connect_timeout_,
                                                static_cast<Stream::Owner&>(*this), Priority::servers);
 }
@@ -306,7 +309,7 @@
   if (!at.state) return;
   at.connection->backoff = Duration{0};
   at.state->connection_lost = false;
-  at.state->last_connected_at = loop_.now();
+  at.state->ends.connection_up(at.connection->id, at.connection->begun_at, loop_.now());
   at.state->connect_timed_out = false;
   for (const QueuedMessage& what : std::exchange(at.state->queued, {}))
     write(*at.state, *at.connection, what);
@@ -318,8 +321,9 @@
     const auto length = input.find('\n');
     const ConnectionRef at = find_connection(stream);
     if (!at.state) return;
+    if (at.connection->unreadable) return stream.consume(input.size());
     if (length == std::string_view::npos) {
-      if (input.size() > kMaxMessageBytes) return close_unusable(stream, "endless line");
+      if (input.size() > kMaxMessageBytes) return stop_reading(stream, "endless line");
       if (!input.empty() && !at.connection->partial_line_since)
         at.connection->partial_line_since = loop_.now();
       return;
@@ -328,7 +332,8 @@
     at.connection->abandoned_since.reset();
     at.connection->last_received = loop_.now();
     auto line = length <= kMaxMessageBytes ? parse_server_line(input.substr(0, length)) : std::nullopt;
-    if (!line) return close_unusable(stream, "malformed line");
+    if (!line) return stop_reading(stream, "malformed line");
+    at.state->ends.line_received(at.connection->id, loop_.now());
     stream.consume(length + 1);
     handle(at, std::move(*line));
   }
@@ -346,14 +351,13 @@
   const SetUpOutcome outcome = owner_.on_call_message(server, std::move(line), origin);
   if (outcome == SetUpOutcome::open) return;
   finish_set_up(server, call);
-  if (outcome == SetUpOutcome::established) at.connection->established_calls.insert(call);
+  if (outcome == SetUpOutcome::established) at.state->ends.call_established(call, at.connection->id);
 }
 
 void Servers::forget_call(const ServerId& server, CallId call) {
   const auto found = servers_.find(server);
   if (found == servers_.end()) return;
-  found->second.orphaned_calls.erase(call);
-  for (Connection& connection : found->second.connections) connection.established_calls.erase(call);
+  found->second.ends.call_ended(call);
 }
 
 void Servers::finish_set_up(const ServerId& server, CallId call) {
@@ -368,14 +372,38 @@
   }
 }
 
-// Closes a connection that cannot be used any more: after an unreadable line nothing on it can be trusted.
-void Servers::close_unusable(Stream& stream, const char* why) {
+// After a line that cannot be read nothing on its connection can be trusted.
+void Servers::stop_reading(Stream& stream, const char* why) {
+  find_connection(stream).connection->unreadable = true;
+  stream.consume(stream.input().size());
+  retire(stream, why);
+}
+
+// Stops using a connection and tells the server so by ending what this process sends. A silent server hears
+// that much later and may send ends of calls on the connection until then, so it is read until the server has
+// ended it too.
+void Servers::retire(Stream& stream, const char* why) {
   const ConnectionRef at = find_connection(stream);
-  if (!at.state) return;
-  log_.line("server %s: %s, connection closed", server_text(at.state->server).c_str(), why);
-  stream.close();
-  schedule_replacement(*at.state);
-  on_disconnected(stream, DisconnectReason::closed);
+  if (!at.state || at.connection->retired_at) return;
+  ServerState& state = *at.state;
+  const std::string name = server_text(state.server);
+  log_.line("server %s: %s, connection closed", name.c_str(), why);
+  log_.line("server %s: connection closed, %zu set-ups out", name.c_str(), at.connection->in_flight.size());
+  const std::deque<Segment> unsent = stream.stop_sending();
+  state.ends.retire(at.connection->id, loop_.now());
+  Connection& retired = state.retired.emplace_back(std::exchange(*at.connection, {}));
+  retired.retired_at = loop_.now();
+  retired.partial_line_since.reset();
+  if (state.retired.size() > kMaxRetiredPerServer) close_oldest_retired(state);
+  state.connection_lost = true;
+  schedule_replacement(state);
+  connect(state);
+  lose_messages(state, retired, unsent);
+}
+
+void Servers::close_oldest_retired(ServerState& state) {
+  close_connection(state, state.retired.front());
+  state.retired.pop_front();
 }
 
 // A release that the server was sending on a connection closed from here is repeated on the next one opened,
@@ -395,35 +423,17 @@
 void Servers::on_disconnected(Stream& stream, DisconnectReason how) {
   const ConnectionRef at = find_connection(stream);
   if (!at.state) return;
+  if (at.connection->retired_at) return on_retired_ended(*at.state, stream);
   const ServerId server = at.state->server;
-  std::set<CallId> unsent;
-  for (const Segment& segment : stream.unsent()) unsent.insert(segment.tag);
   loop_.keep_until_pass_end(
       std::exchange(at.connection->stream, nullptr));  // `stream` lives until the end of the pass
   if (stream.was_connected()) {
-    const auto in_flight = std::exchange(at.connection->in_flight, {});
-    const auto releases = std::exchange(at.connection->recent_releases, {});
-    at.state->orphaned_calls.merge(std::exchange(at.connection->established_calls, {}));
+    at.state->ends.connection_ended(at.connection->id, loop_.now());
     log_.line("server %s: connection %s, %zu set-ups out", server_text(server).c_str(),
-              how == DisconnectReason::reset ? "reset" : "closed", in_flight.size());
+              how == DisconnectReason::reset ? "reset" : "closed", at.connection->in_flight.size());
     at.state->connection_lost = true;
     connect(*at.state);
-    // Calls that were being released must not stay established: the releases are sent once more, which is
-    // harmless.
-    Connection* const other = best_connection(*at.state);
-    for (const auto& [when, what] : releases) {
-      if (loop_.now() - when > kReleaseRepeatWindow) continue;
-      if (other) {
-        write(*at.state, *other, what);
-      } else if (at.state->queued.size() < kMaxQueued) {
-        at.state->queued.push_back(what);
-      }
-    }
-    for (const auto& [call, set_up] : in_flight) {
-      owner_.on_set_up_lost(server, call, set_up.attempt,
-                            unsent.count(call) > 0 ? SetUpLoss::unsent : SetUpLoss::sent);
-    }
-    return;
+    return lose_messages(*at.state, *at.connection, stream.unsent());
   }
   at.state->connect_timed_out |= how == DisconnectReason::timed_out;
   if (best_connection(*at.state)) return;
@@ -448,6 +458,43 @@
   }
 }
 
+// The server has ended a connection that this process had stopped using, and sends nothing on it any more.
+// What it sent there shortly before may have been lost on the way, and is repeated on a connection opened
+// now.
+void Servers::on_retired_ended(ServerState& state, Stream& stream) {
+  const auto ended = std::find_if(state.retired.begin(), state.retired.end(),
+                                  [&](const Connection& each) { return each.stream.get() == &stream; });
+  log_.line("server %s: it has ended the connection that was closed here %lld ms ago",
+            server_text(state.server).c_str(),
+            static_cast<long long>((loop_.now() - *ended->retired_at) / milliseconds(1)));
+  state.ends.connection_ended(ended->id, loop_.now());
+  loop_.keep_until_pass_end(std::move(ended->stream));
+  state.retired.erase(ended);
+  connect(state);
+}
+
+void Servers::lose_messages(ServerState& state, Connection& connection, const std::deque<Segment>& unsent) {
+  const ServerId server = state.server;
+  const auto in_flight = std::exchange(connection.in_flight, {});
+  const auto releases = std::exchange(connection.recent_releases, {});
+  // Calls that were being released must not stay established: the releases are sent once more, which is
+  // harmless.
+  Connection* const other = best_connection(state);
+  for (const auto& [when, what] : releases) {
+    if (loop_.now() - when > kReleaseRepeatWindow) continue;
+    if (other) {
+      write(state, *other, what);
+    } else if (state.queued.size() < kMaxQueued) {
+      state.queued.push_back(what);
+    }
+  }
+  for (const auto& [call, set_up] : in_flight) {
+    const bool never_sent =
+        std::any_of(unsent.begin(), unsent.end(), [call = call](const Segment& s) { return s.tag == call; });
+    owner_.on_set_up_lost(server, call, set_up.attempt, never_sent ? SetUpLoss::unsent : SetUpLoss::sent);
+  }
+}
+
 // Closes open connections that are silent or stuck in the middle of a line, then runs the liveness tests.
 void Servers::check_connections() {
   std::vector<std::pair<std::shared_ptr<Stream>, const char*>> unusable;
@@ -465,41 +512,16 @@
       }
     }
   }
-  for (const auto& [stream, why] : unusable) close_unusable(*stream, why);
+  for (const auto& [stream, why] : unusable) retire(*stream, why);
   for (auto& [id, state] : servers_) check_liveness(state);
   check_timer_ = loop_.at(loop_.now() + kCheckInterval, [this] { check_connections(); });
 }
 
-// Up to this time, any release of an established call that has lost its connection has been received: the
-// server may send it on any open connection, so the one that was silent for longest counts.
-Time Servers::last_received_on_all(const ServerState& state) const {
-  std::optional<Time> oldest;
-  for (const Connection& connection : state.connections) {
-    if (connection.up())
-      oldest = std::min(oldest.value_or(connection.last_received), connection.last_received);
-  }
-  return std::max(oldest.value_or(state.last_connected_at), state.last_connected_at);
-}
-
-// Established calls whose end may have been sent and not received for `silence`: nothing arrived on the
-// connection that would carry it, and none was opened on which the server would repeat it.
-std::vector<CallId> Servers::calls_unheard_for(const ServerState& state, Duration silence) const {
-  const Time since = loop_.now() - silence;
-  std::vector<CallId> calls;
-  for (const Connection& connection : state.connections) {
-    if (std::max(connection.last_received, state.last_connected_at) <= since)
-      calls.insert(calls.end(), connection.established_calls.begin(), connection.established_calls.end());
-  }
-  if (last_received_on_all(state) <= since)
-    calls.insert(calls.end(), state.orphaned_calls.begin(), state.orphaned_calls.end());
-  return calls;
-}
-
 bool Servers::liveness_test_is_due(const ServerState& state) const {
   const bool on_its_way =
       std::any_of(state.connections.begin(), state.connections.end(),
                   [](const Connection& connection) { return connection.stream && !connection.up(); });
-  return !on_its_way && !calls_unheard_for(state, kLivenessTestAfter).empty();
+  return !on_its_way && state.ends.new_connection_due(loop_.now());
 }
 
 // The connection to open for a liveness test: one that is not open, else the one silent for longest, if
@@ -517,13 +539,13 @@
 void Servers::check_liveness(ServerState& state) {
   if (loop_.now() - state.last_liveness_test < kLivenessTestInterval) return;
   if (state.connect_timed_out) {
-    const std::vector<CallId> cut = calls_unheard_for(state, kUnreachableAfter);
+    const std::vector<CallId> cut = state.ends.calls_unheard_for(kUnreachableAfter, loop_.now());
     if (!cut.empty()) owner_.on_calls_unreachable(state.server, cut);
   }
   if (!liveness_test_is_due(state)) return;
   state.last_liveness_test = loop_.now();
   Connection& connection = *connection_for_liveness_test(state);
-  if (connection.up()) return close_unusable(*connection.stream, "silent, tested by a new connection");
+  if (connection.up()) return retire(*connection.stream, "silent, tested by a new connection");
   connect(state, connection);
 }
 
--- a/src/net/servers.hpp
+++ b/src/net/servers.hpp
@@ -4,6 +4,7 @@
 
 #include <array>
 #include <deque>
+#include <list>
 #include <map>
 #include <memory>
 #include <optional>
@@ -13,6 +14,7 @@
 
 #include "core/attempt.hpp"
 #include "core/calls.hpp"
+#include "core/end_tracker.hpp"
 #include "log.hpp"
 #include "net/server_lines.hpp"
 #include "net/stream.hpp"
@@ -102,6 +104,7 @@
 
  private:
   static constexpr std::size_t kConnectionsPerServer = 4;  // a server reports its load on at most this many
+  static constexpr std::size_t kMaxRetiredPerServer = 4;   // beyond this the oldest is closed
 
   // An offer, or the release of a call (then only offer.call and cause are set).
   struct QueuedMessage {
@@ -116,14 +119,17 @@
   };
   // One connection. A server has a few, since a broken connection loses the set-ups in flight on it.
   struct Connection {
+    ConnectionId id = 0;
     std::shared_ptr<Stream> stream{};
     std::map<CallId, SetUp> in_flight{};
-    std::set<CallId> established_calls{};  // calls that were answered on it and have not ended
     std::deque<std::pair<Time, QueuedMessage>> recent_releases{};  // releases sent recently, oldest first
+    Time begun_at{};                                               // when connecting began
     Time last_received{};  // when the last complete line arrived, or connecting began
     // Send time of the first set-up that was abandoned after a later one had been answered (overtaken it).
     std::optional<Time> abandoned_since{};
     std::optional<Time> partial_line_since{};  // since when an incomplete line has been waiting for its rest
+    std::optional<Time> retired_at{};          // since then not used any more, only read
+    bool unreadable = false;                   // a malformed line arrived: nothing on it is read any more
     Duration backoff{};                        // delay before the next connection attempt
     std::optional<Loop::TimerId> retry{};
 
@@ -133,13 +139,17 @@
   };
   // What is known about one setup server.
   struct ServerState {
+    explicit ServerState(Time now) : ends(now) {}
+
     ServerId server{};
-    Time latest_answered_sent_at{};     // send time of the latest answered set-up
-    std::set<CallId> orphaned_calls{};  // established calls whose connection is gone
-    Time last_connected_at{};   // when a connection last came up; the server repeats earlier releases on it
-    Time last_liveness_test{};  // when a connection was last opened because another was silent
+    Time latest_answered_sent_at{};  // send time of the latest answered set-up
+    EndTracker ends;                 // of the established calls
+    Time last_liveness_test{};       // when a connection was last opened because another was silent
     bool connect_timed_out = false;  // a connection attempt has timed out since one last succeeded
     std::array<Connection, kConnectionsPerServer> connections{};
+    // Connections that are not used any more and are read until the server ends them, oldest first. Only the
+    // server's end shows that it has noticed: until then it may send ends of calls on them.
+    std::list<Connection> retired{};
     std::vector<QueuedMessage> queued{};               // to be sent when a connection is up
     bool keep_connected = false;                       // reconnect after a loss
     bool connection_lost = false;                      // not re-established; the process may be gone
@@ -166,13 +176,17 @@
   void connect_after(ServerState& state, Connection& connection, Duration backoff);
   void write(ServerState& state, Connection& connection, const QueuedMessage& what);
   void handle(const ConnectionRef& at, ServerLine line);
-  void close_unusable(Stream& stream, const char* why);
+  void stop_reading(Stream& stream, const char* why);
+  void retire(Stream& stream, const char* why);
+  void close_oldest_retired(ServerState& state);
+  void on_retired_ended(ServerState& state, Stream& stream);
+  // The set-ups in flight on a connection that is not used any more are lost; its recent releases are
+  // repeated.
+  void lose_messages(ServerState& state, Connection& connection, const std::deque<Segment>& unsent);
   void schedule_replacement(ServerState& state);
   void close_connection(ServerState& state, Connection& connection);
   void check_connections();
   bool liveness_test_is_due(const ServerState& state) const;
-  std::vector<CallId> calls_unheard_for(const ServerState& state, Duration silence) const;
-  Time last_received_on_all(const ServerState& state) const;
   void check_liveness(ServerState& state);
   Connection* connection_for_liveness_test(ServerState& state);
 
@@ -181,6 +195,7 @@
   Owner& owner_;
   Duration connect_timeout_;
   std::map<ServerId, ServerState> servers_;
+  ConnectionId last_connection_id_ = 0;
   std::optional<Loop::TimerId> check_timer_{};
 };
 
--- a/src/net/stream.cpp
+++ b/src/net/stream.cpp
@@ -87,7 +87,7 @@
 }
 
 void Stream::send(Segment segment) {
-  if (state_ == State::dead) return;
+  if (state_ == State::dead || sending_stopped_) return;
   last_used_ = loop_.now();
   if (output_.empty()) last_written_ = loop_.now();
   queued_bytes_ += segment.head.size() + segment.body.size();
@@ -124,6 +124,14 @@
   if (state_ != State::dead) discard();
 }
 
+std::deque<Segment> Stream::stop_sending() {
+  sending_stopped_ = true;
+  if (state_ == State::up) flush();
+  if (state_ == State::up) ::shutdown(fd_.get(), SHUT_WR);
+  front_bytes_written_ = queued_bytes_ = 0;
+  return std::exchange(output_, {});
+}
+
 void Stream::end_output() {
   if (state_ == State::up) flush();
   if (state_ == State::up && output_.empty()) ::shutdown(fd_.get(), SHUT_WR);
@@ -208,6 +216,7 @@
       if (errno == EINTR) continue;
       if (errno == EAGAIN || errno == EWOULDBLOCK) break;
       if (closing_) return discard();
+      if (sending_stopped_) return;
       // What the peer sent before it disconnected is still read; the read then reports the end.
       return queued_bytes_ > max_output_bytes_ ? fail(DisconnectReason::reset) : read();
     }
@@ -221,7 +230,7 @@
       output_.pop_front();
     }
   }
-  if (queued_bytes_ > max_output_bytes_) fail(DisconnectReason::reset);
+  if (queued_bytes_ > max_output_bytes_ && !sending_stopped_) fail(DisconnectReason::reset);
 }
 
 void Stream::fail(DisconnectReason reason) {
--- a/src/net/stream.hpp
+++ b/src/net/stream.hpp
@@ -73,6 +73,9 @@
   Time last_written() const { return last_written_; }
   // Writes what the socket accepts without blocking, then closes.
   void close();
+  // Writes what the socket accepts without blocking and shuts down the sending side for good; reading
+  // continues until the peer ends the connection. Returns the segments that were not written completely.
+  std::deque<Segment> stop_sending();
   // Writes what the socket accepts without blocking and, if that is everything, shuts down the sending side.
   // Reading continues: unread input would make the kernel reset the connection and discard what was written.
   void end_output();
@@ -104,6 +107,7 @@
   bool flush_scheduled_ = false;
   bool was_connected_ = false;
   bool closing_ = false;  // by the owner, which gets no more callbacks
+  bool sending_stopped_ = false;
   std::optional<Loop::TimerId> connect_timer_;
   Time last_used_{};
   Time last_written_{};
--- a/tests/endings_test.cpp
+++ b/tests/endings_test.cpp
@@ -425,6 +425,70 @@
   EXPECT_EQ(count(gateway.received(), binary(12, 0xaa).substr(2)), 1u);
 }
 
+// The call 0xaa stands on a connection that falls silent, here in the middle of a line, and is closed for
+// that; another one takes its place and brings reports.
+class SilentConnection : public Program {
+ protected:
+  SilentConnection() {
+    open_server();
+    gateway = connect_caller();
+    establish_call(gateway);
+    server.send("{\"op\":\"group\",");
+    run_passes(3);
+    pass_time(milliseconds(400));
+    run_passes(3);
+    wait_until([&] { return accept_one(); }, "the connection in its place");
+    pass_time(milliseconds(300));
+    while (accept_one()) run_passes(3);
+  }
+  bool accept_one() {
+    Peer next = listener.accept();
+    if (!next) return false;
+    others.push_back(std::move(next));
+    return true;
+  }
+  void pass_time(Duration time) {
+    for (const Duration until = clock_offset + time; clock_offset < until;) {
+      clock_offset += milliseconds(100);
+      for (const Peer& other : others)
+        other.send("{\"op\":\"group\",\"call\":\"\",\"with\":{\"load\":\"queue:0\"}}\n");
+      run_passes(3);
+    }
+  }
+  const std::string ended = binary(12, 0xaa, {{208, "\x10"}});
+  const FrozenClock held;
+  Peer gateway;
+  std::vector<Peer> others;
+};
+
+// Guards against: the server says the end on the silent connection, which it cannot know to be closed, and on
+// the next one opened after that; none was opened, and the caller was never told.
+TEST_F(SilentConnection, AnEndThatTheServerCanRepeatOnlyOnANewConnectionIsTold) {
+  Peer fresh;
+  for (int tenths = 0; tenths < 20 && !fresh; ++tenths) {
+    pass_time(milliseconds(100));
+    fresh = listener.accept();
+  }
+  ASSERT_TRUE(static_cast<bool>(fresh)) << "no connection was opened within 2 s";
+  fresh.send(line("end", kId, "\"why\":16"));
+  wait_to_receive(gateway, ended);
+}
+
+// Guards against: what the silent connection brings once its silence is over is not read any more.
+TEST_F(SilentConnection, AnEndOnTheSilentConnectionIsToldWhenItsSilenceIsOver) {
+  server.send("\"call\":\"\",\"with\":{}}\n" + line("end", kId, "\"why\":16"));
+  wait_to_receive(gateway, ended);
+}
+
+// Guards against: an end that was on its way on the silent connection when the server closed it as well.
+TEST_F(SilentConnection, AConnectionIsOpenedOnceTheServerHasEndedTheSilentOne) {
+  server.close();
+  Peer fresh;
+  wait_until([&] { return static_cast<bool>(fresh = listener.accept()); }, "a connection, at once");
+  fresh.send(line("end", kId, "\"why\":16"));
+  wait_to_receive(gateway, ended);
+}
+
 // A server that has nothing to send is silent as well. Connections to it come up, so no call is cut, and it
 // is not tested often.
 TEST_F(Program, ACallAtAnIdleServerStaysEstablished) {
