No call is sent to a server again past a release that it may not have read

The release of attempt 0 waited on a silent connection; attempt 1 left for the same server on another one 300 ms later, stood, and was cut when the silence was over. The order was kept only on a connection that did not look suspect and for 1 s.

Change: core/unread_releases.hpp holds, without I/O, on which connections a release of a given-up attempt may still be on its way. A set-up leaves behind such a release on its connection, or once it is known to have been read: confirmed, a later set-up on that connection answered, or the connection ended by the server. Else the module hears AttemptBlocked, undoes the send and takes another server; ServerUnblocked lifts it. An attempt that did not leave is not counted.

Why it works: between two attempts at one server only one connection's order or a proof of reading decides.

--- a/include/quartzarch/controller.hpp
+++ b/include/quartzarch/controller.hpp
@@ -146,6 +146,16 @@
   std::optional<Duration> retry_after{};
   LoadReport report{};
 };
+// The latest SendSetup of the call was not carried out: a release of an earlier attempt at that server may
+// not have been read there yet and would end the new attempt. ServerUnblocked tells when it has been.
+struct AttemptBlocked {
+  CallId call = 0;
+  ServerId server{};
+};
+struct ServerUnblocked {
+  CallId call = 0;
+  ServerId server{};
+};
 struct ServerProbed {
   ServerId server{};
   bool passed = false;
@@ -166,8 +176,9 @@
   unsigned attempts_cap = 1;
 };
 
-using Event = std::variant<ServerList, DiscoveryFailed, CallArrived, CallCancelled, CallEstablished,
-                           AttemptEnded, ServerProbed, TimerFired, PeerMessage, SettingsChanged>;
+using Event =
+    std::variant<ServerList, DiscoveryFailed, CallArrived, CallCancelled, CallEstablished, AttemptEnded,
+                 AttemptBlocked, ServerUnblocked, ServerProbed, TimerFired, PeerMessage, SettingsChanged>;
 
 // ---- Actions
 
--- a/src/controller.cpp
+++ b/src/controller.cpp
@@ -131,6 +131,7 @@
   unsigned faults = 0;                       // attempts of these that a server rejected as faulty
   std::optional<ServerId> faulted_server{};  // server of the last such attempt
   Time avoid_faulted_until{};                // until then the call waits for another server
+  std::vector<ServerId> blocked_at{};        // servers that it may not be sent to: AttemptBlocked
   int in_flight_at_send = 1;  // set-ups in flight at the server after the last send, this one included
   std::optional<ServerId> in_flight_at{};  // server at which its attempt is in flight
   bool answered = false;      // the caller has its answer or has left; an attempt may still be in flight
@@ -421,6 +422,27 @@
     if (!may_retry(call, ended)) refuse_or_fail(ended.call);
   }
 
+  // Nothing reached the server, so the send is undone. The call goes to another server, or waits.
+  void on(const AttemptBlocked& blocked) {
+    const auto found = calls_.find(blocked.call);
+    if (found == calls_.end() || found->second.in_flight_at != blocked.server) return;
+    Call& call = found->second;
+    if (const auto server = servers_.find(blocked.server); server != servers_.end()) {
+      server->second.in_flight.erase(blocked.call);
+      server->second.gap.undo_send(call.sent_at);
+      if (server->second.free_lines) *server->second.free_lines += settings_.instances;
+    }
+    call.in_flight_at.reset();
+    --call.attempts;
+    call.blocked_at.push_back(blocked.server);
+    if (call.answered) calls_.erase(found);
+  }
+
+  void on(const ServerUnblocked& unblocked) {
+    const auto found = calls_.find(unblocked.call);
+    if (found != calls_.end()) std::erase(found->second.blocked_at, unblocked.server);
+  }
+
   // A server rejected the call as faulty. Broken callers send floods of such calls: they must not use up the
   // gaps of good calls, nor count towards the load that the servers were planned for.
   void note_fault(Call& call, const ServerId& at) {
@@ -725,6 +747,7 @@
 
   bool open_to(const Call& call, const Server& server) const {
     if (!server.usable() || now_ < server.backoff_until) return false;
+    if (std::count(call.blocked_at.begin(), call.blocked_at.end(), server.entry.id) > 0) return false;
     if (settings_.own_server_number >= 0 && server.entry.number == settings_.own_server_number) return false;
     if (server.entry.number == call.request.first_choice) return true;
     const auto& pools = class_of(call).pools;
@@ -911,7 +934,7 @@
   bool same_route(const Call& a, const Call& b) const {
     return a.request.call_class == b.request.call_class && a.request.first_choice == b.request.first_choice &&
            a.request.forwarded == b.request.forwarded && a.faulted_server == b.faulted_server &&
-           (now_ < a.avoid_faulted_until) == (now_ < b.avoid_faulted_until);
+           a.blocked_at == b.blocked_at && (now_ < a.avoid_faulted_until) == (now_ < b.avoid_faulted_until);
   }
 
   void send(Call& call, Server& server) {
--- a/src/core/planner.cpp
+++ b/src/core/planner.cpp
@@ -310,7 +310,7 @@
   if (line.op != ServerOp::accept) return ignore(server, line, "the attempt is at another server");
   log_.call_line("call %s: late answer of %s, released there", call_text(exchange.request().call).c_str(),
                  server_text(server).c_str());
-  servers_.release(server, line.call, cause::kNormal);
+  servers_.give_up(server, line.call);
 }
 
 namespace {
@@ -405,7 +405,7 @@
 
 // The server's message may concern this attempt or an earlier one. Releasing the call ends it in either case.
 void Planner::abandon_attempt(Exchange& exchange) {
-  servers_.release(exchange.attempt->server, exchange.request().call, cause::kNormal);
+  servers_.give_up(exchange.attempt->server, exchange.request().call);
   attempt_ended(exchange, Ending::reset, Cause::connection_lost);
 }
 
@@ -486,7 +486,9 @@
 }
 
 void Planner::forget(CallId call) {
-  if (calls_.erase(call) > 0) remember_ended(call);
+  if (calls_.erase(call) == 0) return;
+  servers_.forget_attempts(call);
+  remember_ended(call);
 }
 
 void Planner::remember_ended(CallId call) {
@@ -561,7 +563,7 @@
   loop_.at(at, [this, call = exchange.request().call, number = exchange.attempt->number] {
     Exchange* const late = find(call);
     if (!late || !late->attempt || late->attempt->number != number || late->established()) return;
-    if (late->attempt->dispatched) servers_.release(late->attempt->server, call, cause::kNormal);
+    if (late->attempt->dispatched) servers_.give_up(late->attempt->server, call);
     attempt_ended(*late, Ending::timed_out);
   });
 }
@@ -573,6 +575,10 @@
     if (!exchange || !exchange->attempt || exchange->attempt->number != number ||
         exchange->attempt->dispatched)
       continue;
+    if (!servers_.may_offer(exchange->attempt->server, call)) {
+      block_attempt(*exchange);
+      continue;
+    }
     exchange->attempt->dispatched = true;
     if (number > 0) {
       log_.call_line("call %s: attempt %u to %s", call_text(call).c_str(), number,
@@ -586,6 +592,20 @@
   return !due.empty();
 }
 
+// Nothing was sent, so it is not counted as an attempt.
+void Planner::block_attempt(Exchange& exchange) {
+  const CallId call = exchange.request().call;
+  const Exchange::Attempt attempt = *std::exchange(exchange.attempt, std::nullopt);
+  --exchange.attempts_made;
+  log_.call_line("call %s: attempt %u not sent to %s, which may not have read the end of an earlier one",
+                 call_text(call).c_str(), attempt.number, server_text(attempt.server).c_str());
+  deliver(AttemptBlocked{call, attempt.server});
+}
+
+void Planner::on_offer_possible(const ServerId& server, CallId call) {
+  if (find(call)) deliver(ServerUnblocked{call, server});
+}
+
 void Planner::execute(const CancelAttempt& action) {
   Exchange* const exchange = find(action.call);
   if (!exchange || !exchange->attempt || exchange->attempt->number != action.attempt ||
@@ -593,7 +613,7 @@
     return;
   // The call has already ended at the server: its answer is awaited, and the call must not be sent again.
   if (exchange->attempt->early_end_cause && exchange->answer_pending()) return;
-  if (exchange->attempt->dispatched) servers_.release(exchange->attempt->server, action.call, cause::kNormal);
+  if (exchange->attempt->dispatched) servers_.give_up(exchange->attempt->server, action.call);
   attempt_ended(*exchange, Ending::cancelled);
 }
 
--- a/src/core/planner.hpp
+++ b/src/core/planner.hpp
@@ -80,6 +80,7 @@
   void on_load_report(const ServerId& server, const LoadReport& report) override;
   void on_process_gone(const ServerId& server) override;
   void on_calls_unreachable(const ServerId& server, const std::vector<CallId>& calls) override;
+  void on_offer_possible(const ServerId& server, CallId call) override;
   std::vector<CallId> established_at(const ServerId& server) const;
 
   // The cases of on_call_message: a call that is not known here, one whose attempt is at another server, and
@@ -101,6 +102,8 @@
   bool send_due();
   void attempt_ended(Exchange& exchange, Ending ending, Cause cause = Cause::none,
                      const LoadReport& report = {});
+  // Takes back an attempt that may not be sent to its server yet.
+  void block_attempt(Exchange& exchange);
   void withdraw(CallId call);
   void watch_deadline(const Exchange& exchange, Time at);
   void end_established(CallId call, Ending ending, int cause, const LoadReport& report);
--- a/src/net/server_lines.cpp
+++ b/src/net/server_lines.cpp
@@ -149,6 +149,7 @@
 ServerOp op_of(std::string_view name) {
   if (name == "accept") return ServerOp::accept;
   if (name == "end") return ServerOp::end;
+  if (name == "ended") return ServerOp::ended;
   if (name == "group") return ServerOp::group;
   if (name == "tested") return ServerOp::tested;
   return ServerOp::other;
--- a/src/net/server_lines.hpp
+++ b/src/net/server_lines.hpp
@@ -11,7 +11,7 @@
 namespace quartzarch {
 
 // The field "op" of a line.
-enum class ServerOp { other, accept, end, group, tested };
+enum class ServerOp { other, accept, end, ended, group, tested };
 
 // The fields of a line that are used here.
 struct ServerLine {
--- a/src/net/servers.cpp
+++ b/src/net/servers.cpp
@@ -134,17 +134,52 @@
   return best;
 }
 
-// The connection on which an earlier attempt of the call was released recently, or null. A retry on another
-// connection could overtake that release, which would then end the retry.
-Servers::Connection* Servers::connection_after_release(ServerState& state, CallId call) {
+// The connection for a new set-up of the call: any, or the one on which a release of an earlier attempt may
+// still be on its way, behind which the set-up is safe. Null if none is up.
+Servers::Connection* Servers::connection_for_offer(ServerState& state, CallId call) {
+  const std::set<ConnectionId> releases = state.unread_releases.on_their_way(call, loop_.now());
+  if (releases.empty()) return best_connection(state);
   for (Connection& connection : state.connections) {
-    const bool released = std::any_of(connection.recent_releases.begin(), connection.recent_releases.end(),
-                                      [&](const auto& item) { return item.second.offer.call == call; });
-    if (released && connection.up() && !is_suspect(connection)) return &connection;
+    if (connection.up() && connection.id == *releases.begin()) return &connection;
   }
   return nullptr;
 }
 
+bool Servers::is_safe_to_offer(ServerState& state, CallId call) {
+  const std::set<ConnectionId> releases = state.unread_releases.on_their_way(call, loop_.now());
+  if (releases.empty()) return true;
+  if (releases.size() > 1) return false;
+  const Connection* const connection = connection_for_offer(state, call);
+  return connection && !is_suspect(*connection);
+}
+
+bool Servers::may_offer(const ServerId& server, CallId call) {
+  const auto found = servers_.find(server);
+  if (found == servers_.end() || is_safe_to_offer(found->second, call)) return true;
+  found->second.refused_offers.insert(call);
+  return false;
+}
+
+void Servers::report_possible_offers() {
+  std::vector<std::pair<ServerId, CallId>> possible;
+  for (auto& [id, state] : servers_) {
+    for (const CallId call : state.refused_offers) {
+      if (is_safe_to_offer(state, call)) possible.emplace_back(id, call);
+    }
+  }
+  for (const auto& [server, call] : possible) {
+    servers_.at(server).refused_offers.erase(call);
+    owner_.on_offer_possible(server, call);
+  }
+}
+
+void Servers::forget_attempts(CallId call) {
+  for (auto& [id, state] : servers_) {
+    state.unread_releases.forget(call);
+    state.refused_offers.erase(call);
+  }
+}
+
 void Servers::keep_connected(const ServerId& server) {
   ServerState& state = state_of(server);
   if (std::exchange(state.keep_connected, true)) return;
@@ -167,6 +202,8 @@
     if (what.is_offer)
       owner_.on_set_up_lost(server, what.offer.call, what.offer.attempt, SetUpLoss::unreachable);
   }
+  // Releases of attempts at the process that was there concern no other one.
+  for (const CallId call : gone.refused_offers) owner_.on_offer_possible(server, call);
 }
 
 void Servers::close_connection(ServerState& state, Connection& connection) {
@@ -216,9 +253,8 @@
 
 void Servers::offer(const ServerId& server, Offer offer) {
   ServerState& to = state_of(server);
-  QueuedMessage what{true, std::move(offer), 0};
-  Connection* const released_on = connection_after_release(to, what.offer.call);
-  if (Connection* const connection = released_on ? released_on : best_connection(to)) {
+  QueuedMessage what{true, std::move(offer), 0, false};
+  if (Connection* const connection = connection_for_offer(to, what.offer.call)) {
     if (!connection->in_flight.empty()) connect(to);  // so that the next set-up need not share this one
     return write(to, *connection, what);
   }
@@ -256,7 +292,20 @@
   });
 }
 
+void Servers::give_up(const ServerId& server, CallId call) {
+  QueuedMessage what{false, {}, cause::kNormal, true};
+  what.offer.call = call;
+  send_release(server, std::move(what));
+}
+
 void Servers::release(const ServerId& server, CallId call, int cause) {
+  QueuedMessage what{false, {}, cause, false};
+  what.offer.call = call;
+  send_release(server, std::move(what));
+}
+
+void Servers::send_release(const ServerId& server, QueuedMessage what) {
+  const CallId call = what.offer.call;
   const auto found = servers_.find(server);
   if (found == servers_.end() || withdraw_unsent(server, call)) return;
   ServerState& to = found->second;
@@ -272,8 +321,6 @@
     each.in_flight.erase(out);
   }
   if (!connection || !connection->up()) connection = best_connection(to);
-  QueuedMessage what{false, {}, cause};
-  what.offer.call = call;
   if (connection) return write(to, *connection, what);
   // An established call outlives its connection, so its release is queued until another one is up.
   if (to.queued.size() < kMaxQueued) to.queued.push_back(std::move(what));
@@ -288,19 +335,21 @@
 }
 
 void Servers::write(ServerState& state, Connection& connection, const QueuedMessage& what) {
+  const WritePosition position = ++connection.messages_written;
   if (what.is_offer) {
     // If an earlier attempt's release were repeated from now on, it would end this attempt.
     for (Connection& each : state.connections) {
       std::erase_if(each.recent_releases,
                     [&](const auto& item) { return item.second.offer.call == what.offer.call; });
     }
-    connection.in_flight[what.offer.call] = {what.offer.attempt, loop_.now()};
+    connection.in_flight[what.offer.call] = {what.offer.attempt, loop_.now(), position};
     return connection.stream->send(offer_segment(what.offer, what.offer.until - loop_.now()));
   }
   while (!connection.recent_releases.empty() &&
          loop_.now() - connection.recent_releases.front().first > kReleaseRepeatWindow)
     connection.recent_releases.pop_front();
   connection.recent_releases.emplace_back(loop_.now(), what);
+  if (what.attempt_may_follow) state.unread_releases.written(what.offer.call, connection.id, position);
   connection.stream->send(end_segment(what.offer.call, what.cause));
 }
 
@@ -342,8 +391,10 @@
 void Servers::handle(const ConnectionRef& at, ServerLine line) {
   const ServerId server = at.state->server;
   if (line.op == ServerOp::group) return owner_.on_load_report(server, parse_load(line.load));
+  if (line.op == ServerOp::ended) at.state->unread_releases.confirmed(line.call, at.connection->id);
   if (line.op != ServerOp::accept && line.op != ServerOp::end) return;
   const CallId call = line.call;
+  if (line.op == ServerOp::accept) note_answered(at, call);
   MessageOrigin origin;
   for (const Connection& connection : at.state->connections)
     origin.set_up_is_out |= connection.in_flight.count(call) > 0;
@@ -354,6 +405,14 @@
   if (outcome == SetUpOutcome::established) at.state->ends.call_established(call, at.connection->id);
 }
 
+// The answer to a set-up shows that the server has read what was written before it on that connection. If
+// there was an earlier attempt of the call, the answer may be that one's and show less.
+void Servers::note_answered(const ConnectionRef& at, CallId call) {
+  const auto set_up = at.connection->in_flight.find(call);
+  if (set_up == at.connection->in_flight.end() || at.state->unread_releases.tracks(call)) return;
+  at.state->unread_releases.read_up_to(at.connection->id, set_up->second.position);
+}
+
 void Servers::forget_call(const ServerId& server, CallId call) {
   const auto found = servers_.find(server);
   if (found == servers_.end()) return;
@@ -429,6 +488,7 @@
       std::exchange(at.connection->stream, nullptr));  // `stream` lives until the end of the pass
   if (stream.was_connected()) {
     at.state->ends.connection_ended(at.connection->id, loop_.now());
+    at.state->unread_releases.connection_ended(at.connection->id, loop_.now());
     log_.line("server %s: connection %s, %zu set-ups out", server_text(server).c_str(),
               how == DisconnectReason::reset ? "reset" : "closed", at.connection->in_flight.size());
     at.state->connection_lost = true;
@@ -468,6 +528,7 @@
             server_text(state.server).c_str(),
             static_cast<long long>((loop_.now() - *ended->retired_at) / milliseconds(1)));
   state.ends.connection_ended(ended->id, loop_.now());
+  state.unread_releases.connection_ended(ended->id, loop_.now());
   loop_.keep_until_pass_end(std::move(ended->stream));
   state.retired.erase(ended);
   connect(state);
@@ -514,6 +575,7 @@
   }
   for (const auto& [stream, why] : unusable) retire(*stream, why);
   for (auto& [id, state] : servers_) check_liveness(state);
+  report_possible_offers();
   check_timer_ = loop_.at(loop_.now() + kCheckInterval, [this] { check_connections(); });
 }
 
--- a/src/net/servers.hpp
+++ b/src/net/servers.hpp
@@ -15,6 +15,7 @@
 #include "core/attempt.hpp"
 #include "core/calls.hpp"
 #include "core/end_tracker.hpp"
+#include "core/unread_releases.hpp"
 #include "log.hpp"
 #include "net/server_lines.hpp"
 #include "net/stream.hpp"
@@ -66,6 +67,8 @@
     // The end of these established calls could not be received any more: the connections that would carry it
     // are silent, and no new one can be made.
     virtual void on_calls_unreachable(const ServerId& server, const std::vector<CallId>& calls) = 0;
+    // The call, for which may_offer() was false, may be offered to the server now.
+    virtual void on_offer_possible(const ServerId& server, CallId call) = 0;
   };
 
   Servers(Loop& loop, Logger& log, Owner& owner, Duration connect_timeout)
@@ -83,11 +86,18 @@
   // Closes all connections to the server, whose process is gone or has been replaced.
   void disconnect(const ServerId& server);
 
-  // Sends a set-up, or queues it until a connection is up.
+  // False while a release of an earlier attempt of the call may reach the server after a new set-up and end
+  // it. on_offer_possible() then tells when that has changed.
+  bool may_offer(const ServerId& server, CallId call);
+  // Sends a set-up, or queues it until a connection is up. Only where may_offer() is true.
   void offer(const ServerId& server, Offer offer);
-  // Abandons a set-up or releases an established call. A set-up of which nothing was written yet is withdrawn
-  // without a message.
+  // Abandons a set-up; another attempt of the call may follow. One of which nothing was written yet is
+  // withdrawn without a message.
+  void give_up(const ServerId& server, CallId call);
+  // Abandons a set-up or releases an established call. No attempt of the call follows.
   void release(const ServerId& server, CallId call, int cause);
+  // No further attempt of the call follows.
+  void forget_attempts(CallId call);
   // Withdraws a set-up of which nothing was written yet; false if there is none.
   bool withdraw_unsent(const ServerId& server, CallId call);
   // An established call has ended: its end is not awaited any more.
@@ -106,22 +116,25 @@
   static constexpr std::size_t kConnectionsPerServer = 4;  // a server reports its load on at most this many
   static constexpr std::size_t kMaxRetiredPerServer = 4;   // beyond this the oldest is closed
 
-  // An offer, or the release of a call (then only offer.call and cause are set).
+  // An offer, or the release of a call (then only offer.call, cause and attempt_may_follow are set).
   struct QueuedMessage {
     bool is_offer = false;
     Offer offer{};
     int cause = 0;
+    bool attempt_may_follow = false;
   };
   // A set-up in flight: handed to a connection and not answered, refused or abandoned.
   struct SetUp {
     unsigned attempt = 0;
     Time sent_at{};
+    WritePosition position = 0;
   };
   // One connection. A server has a few, since a broken connection loses the set-ups in flight on it.
   struct Connection {
     ConnectionId id = 0;
     std::shared_ptr<Stream> stream{};
     std::map<CallId, SetUp> in_flight{};
+    WritePosition messages_written = 0;
     std::deque<std::pair<Time, QueuedMessage>> recent_releases{};  // releases sent recently, oldest first
     Time begun_at{};                                               // when connecting began
     Time last_received{};  // when the last complete line arrived, or connecting began
@@ -144,8 +157,10 @@
     ServerId server{};
     Time latest_answered_sent_at{};  // send time of the latest answered set-up
     EndTracker ends;                 // of the established calls
-    Time last_liveness_test{};       // when a connection was last opened because another was silent
-    bool connect_timed_out = false;  // a connection attempt has timed out since one last succeeded
+    UnreadReleases unread_releases{};
+    std::set<CallId> refused_offers{};  // calls for which may_offer() was false
+    Time last_liveness_test{};          // when a connection was last opened because another was silent
+    bool connect_timed_out = false;     // a connection attempt has timed out since one last succeeded
     std::array<Connection, kConnectionsPerServer> connections{};
     // Connections that are not used any more and are read until the server ends them, oldest first. Only the
     // server's end shows that it has noticed: until then it may send ends of calls on them.
@@ -167,7 +182,10 @@
   ServerState& state_of(const ServerId& server);
   ConnectionRef find_connection(const Stream& stream);
   Connection* best_connection(ServerState& state);
-  Connection* connection_after_release(ServerState& state, CallId call);
+  Connection* connection_for_offer(ServerState& state, CallId call);
+  bool is_safe_to_offer(ServerState& state, CallId call);
+  void report_possible_offers();
+  void send_release(const ServerId& server, QueuedMessage what);
   bool is_suspect(const Connection& connection) const;
   void finish_set_up(const ServerId& server, CallId call);
   void connect(ServerState& state);
@@ -176,6 +194,7 @@
   void connect_after(ServerState& state, Connection& connection, Duration backoff);
   void write(ServerState& state, Connection& connection, const QueuedMessage& what);
   void handle(const ConnectionRef& at, ServerLine line);
+  void note_answered(const ConnectionRef& at, CallId call);
   void stop_reading(Stream& stream, const char* why);
   void retire(Stream& stream, const char* why);
   void close_oldest_retired(ServerState& state);
--- a/tests/attempt_identity_test.cpp
+++ b/tests/attempt_identity_test.cpp
@@ -233,6 +233,77 @@
             Verdict::refused);
 }
 
+// An attempt of the call 0xaa is given up as lost while its connection is healthy; then the connection falls
+// silent, here in the middle of a line, before the server has read the release on it.
+class UnreadRelease : public Program {
+ protected:
+  UnreadRelease() : Program([](InstanceSettings& start) { start.settings.resend = milliseconds(200); }) {}
+
+  void give_up_an_attempt(const std::vector<Host>& servers) {
+    planner->update_servers({1, true, servers});
+    wait_until([&] { return static_cast<bool>(silent = listener.accept()); }, "the first connection");
+    run_passes(3);
+    gateway = connect_caller();
+    gateway.send(setup(0xaa, "d"));
+    wait_to_receive(silent, "offer");
+    pass_time(milliseconds(60));
+    gateway.send(setup(0xbb, "d"));
+    wait_until([&] { return static_cast<bool>(server = listener.accept()); }, "the second connection");
+    if (count(silent.received(), "offer") < 2) wait_to_receive(server, "offer");
+    silent.send(kReport);
+    run_passes(3);
+    (count(silent.received(), "offer") < 2 ? server : silent)
+        .send(line("accept", "00000000000000bb", "\"desc\":\"s\""));
+    wait_to_receive(gateway, binary(9, 0xbb, {{210, "s"}}));
+    silent.send("{\"op\":");
+    while (count(silent.received(), kRelease) == 0 && clock_offset < std::chrono::seconds(3600))
+      pass_time(milliseconds(10));
+  }
+  void pass_time(Duration time) {
+    for (const Duration until = clock_offset + time; clock_offset < until;) {
+      clock_offset += milliseconds(5);
+      run_passes(3);
+    }
+  }
+  // Set-ups of the call that have arrived at the first server on other connections than the silent one.
+  std::size_t offered_beside_the_release() {
+    while (Peer more = listener.accept()) others.push_back(std::move(more));
+    std::size_t found = count(server.received(), kOffer);
+    for (Peer& each : others) found += count(each.received(), kOffer);
+    return found;
+  }
+
+  const std::string kReport = "{\"op\":\"group\",\"call\":\"\",\"with\":{\"load\":\"queue:0\"}}\n";
+  const std::string kRelease = line("end", kId, "\"why\":16");
+  const std::string kOffer = "\"offer\",\"call\":\"" + kId;
+  const FrozenClock held;
+  Peer silent, gateway;
+  std::list<Peer> others;
+};
+
+// Guards against: the call is set up again on another connection, and the release of the attempt before,
+// which the server reads only when the silence is over, cuts it behind its caller's back.
+TEST_F(UnreadRelease, KeepsTheCallFromItsServerUntilTheServerHasReadIt) {
+  give_up_an_attempt({host(listener, 0)});
+  ASSERT_EQ(count(silent.received(), kRelease), 1u) << "the attempt was not given up";
+  pass_time(milliseconds(600));
+  EXPECT_EQ(offered_beside_the_release(), 0u);
+  silent.close();  // the server has read all that was sent to it and ends the connection too
+  wait_until([&] { return pass_time(milliseconds(10)), offered_beside_the_release() == 1; },
+             "the next attempt");
+}
+
+// The same with another server in service: the call goes there without delay.
+TEST_F(UnreadRelease, SendsTheCallToAnotherServer) {
+  Listener elsewhere;
+  give_up_an_attempt({host(listener, 0), host(elsewhere, 1)});
+  ASSERT_EQ(count(silent.received(), kRelease), 1u) << "the attempt was not given up";
+  Peer other = elsewhere.accept_next();
+  wait_until([&] { return pass_time(milliseconds(10)), count(other.received(), kOffer) == 1; },
+             "an attempt at the other server");
+  EXPECT_EQ(offered_beside_the_release(), 0u);
+}
+
 // If the server read the release of the first attempt after the retry, it would end the retry. So both are
 // sent on one connection, in this order.
 TEST_F(RetriedCall, ARetryFollowsTheReleaseOfTheAttemptBeforeOnItsConnection) {
@@ -245,6 +316,7 @@
     void on_load_report(const ServerId&, const LoadReport&) override {}
     void on_process_gone(const ServerId&) override {}
     void on_calls_unreachable(const ServerId&, const std::vector<CallId>&) override {}
+    void on_offer_possible(const ServerId&, CallId) override {}
   } owner;
   Servers servers(loop, log, owner, milliseconds(500));
   const ServerId id = host(listener, 0).entry.id;
@@ -265,7 +337,8 @@
   servers.offer(id, {0xdd, "voice", "1", "d", far});
   servers.offer(id, {0xee, "voice", "1", "d", far});
   run_passes();
-  servers.release(id, 0xaa, cause::kNormal);
+  servers.give_up(id, 0xaa);
+  ASSERT_TRUE(servers.may_offer(id, 0xaa));
   servers.offer(id, {0xaa, "voice", "1", "d", far, 1});
   run_passes();
   for (Peer& connection : connections) {
--- a/tests/controller_test.cpp
+++ b/tests/controller_test.cpp
@@ -964,6 +964,23 @@
   EXPECT_LE(instance.sent_to(3), 12u);
 }
 
+// Guards against: a call whose attempt could not leave goes to the same server again and again, or uses up
+// its attempts without any having been sent.
+TEST(Rules, ABlockedAttemptCountsForNothingAndLeavesForAnotherServer) {
+  Instance instance;
+  instance.call(1);
+  ASSERT_EQ(instance.sent_to(1), 1u);
+  instance.handle(AttemptBlocked{1, server(1)});
+  EXPECT_EQ(instance.sent_to(2), 1u);
+  instance.handle(AttemptBlocked{1, server(2)});
+  instance.run_until(milliseconds(500));
+  EXPECT_EQ(instance.emitted<SendSetup>().size(), 2u) << "blocked at both: it waits";
+  instance.handle(ServerUnblocked{1, server(1)});
+  EXPECT_EQ(instance.sent_to(1), 2u);
+  instance.run_until(seconds(4));
+  EXPECT_EQ(instance.emitted<CancelAttempt>().size(), 0u);
+}
+
 // ---- Unknown and out-of-range input
 
 TEST(BadInput, UnknownCallsServersAndTimersAreIgnored) {
--- a/tests/endings_test.cpp
+++ b/tests/endings_test.cpp
@@ -146,6 +146,7 @@
   void on_load_report(const ServerId&, const LoadReport&) override {}
   void on_process_gone(const ServerId&) override { ++dead; }
   void on_calls_unreachable(const ServerId&, const std::vector<CallId>&) override { ++dead; }
+  void on_offer_possible(const ServerId&, CallId) override {}
   int broken = 0, dead = 0;
 };
 
--- a/tests/rough_test.cpp
+++ b/tests/rough_test.cpp
@@ -258,6 +258,7 @@
     void on_load_report(const ServerId&, const LoadReport&) override {}
     void on_process_gone(const ServerId&) override {}
     void on_calls_unreachable(const ServerId&, const std::vector<CallId>&) override {}
+    void on_offer_possible(const ServerId&, CallId) override {}
   } owner;
   Servers servers(loop, log, owner, milliseconds(500));
   const ServerId id = host(listener, 0).entry.id;
