A forwarder whose planners are silent gives each call its final answer

Change: planners repeat their readiness every 250 ms. A forwarder retires a link that has been silent for 1.5 s: its unanswered calls fail at once, new ones go to another planner or are refused, and the link is read until the planner ends it. Calls that stood on it are told over after 6.7 s of silence. Each call has a deadline at the forwarder too. No message has a new form; a planner that never repeats its readiness is not taken for silent.

Why it works: every call now ends at the latest by a timer of the forwarder itself, and the end of a call that stood is read from its link or told within 8 s.

--- a/src/link/link_server.cpp
+++ b/src/link/link_server.cpp
@@ -8,6 +8,8 @@
 
 constexpr std::size_t kMaxForwarders = 64;
 constexpr std::size_t kMaxUndeliveredEnds = 10000;
+// Several within the time after which a forwarder takes its planner for silent (src/link/planners.cpp).
+constexpr Duration kHeartbeatInterval = std::chrono::milliseconds(250);
 
 }  // namespace
 
@@ -18,10 +20,12 @@
       acceptor_(loop, listen_on(listen)),
       announced_ready_(core.ready()) {
   loop_.watch(*this, Priority::callers);
+  heartbeat_timer_ = loop_.at(loop_.now() + kHeartbeatInterval, [this] { send_heartbeats(); });
 }
 
 LinkServer::~LinkServer() {
   loop_.unwatch(*this);
+  loop_.cancel(heartbeat_timer_);
   for (auto& [stream, forwarder] : forwarders_) forwarder.stream->close();
 }
 
@@ -36,10 +40,19 @@
 }
 
 void LinkServer::announce_readiness() {
-  if (std::exchange(announced_ready_, accepts_calls()) == accepts_calls()) return;
+  if (announced_ready_ != accepts_calls()) send_readiness();
+}
+
+void LinkServer::send_readiness() {
+  announced_ready_ = accepts_calls();
   for (auto& [stream, forwarder] : forwarders_) forwarder.stream->send(readiness_message());
 }
 
+void LinkServer::send_heartbeats() {
+  send_readiness();
+  heartbeat_timer_ = loop_.at(loop_.now() + kHeartbeatInterval, [this] { send_heartbeats(); });
+}
+
 void LinkServer::on_ready(short) {
   Fd fd = acceptor_.accept();
   if (!fd || forwarders_.size() >= kMaxForwarders) return;
@@ -110,8 +123,8 @@
     if (message.type == MessageType::answer) {
       calls_.erase(message.call);
       core_.release(message.call, cause::kTemporary);
-    } else if (message.type == MessageType::call_ended && undelivered_ends_.size() < kMaxUndeliveredEnds) {
-      undelivered_ends_.push_back(segment);
+    } else if (message.type == MessageType::call_ended) {
+      send_end_to_all(segment);
     }
   }
 }
@@ -149,6 +162,10 @@
   Segment segment = encode(MessageType::call_ended, call, {std::to_string(cause)});
   if (forwarder_of(call)) return send_result(call, std::move(segment), false);
   calls_.erase(call);
+  send_end_to_all(std::move(segment));
+}
+
+void LinkServer::send_end_to_all(Segment segment) {
   for (auto& [stream, forwarder] : forwarders_) forwarder.stream->send(segment);
   if (forwarders_.empty() && undelivered_ends_.size() < kMaxUndeliveredEnds)
     undelivered_ends_.push_back(std::move(segment));
--- a/src/link/link_server.hpp
+++ b/src/link/link_server.hpp
@@ -24,7 +24,8 @@
   sockaddr_in address() const { return bound_address(acceptor_.fd()); }
   // True if no call is unanswered and all messages have been written.
   bool idle() const;
-  // Tells the forwarders whether this planner accepts new calls, if that has changed.
+  // Tells the forwarders whether this planner accepts new calls, if that has changed. It is also repeated as
+  // a heartbeat.
   void announce_readiness();
   // From now on forwarders are to send new calls to other planners; calls that still arrive are served.
   void stop() { stopping_ = true; }
@@ -54,6 +55,10 @@
   void send_result(CallId call, Segment segment, bool established);
   bool accepts_calls() const { return core_.ready() && !stopping_; }
   Segment readiness_message() const;
+  void send_readiness();
+  void send_heartbeats();
+  // Sends the end of a call whose forwarder is not connected to all that are, or to the next one.
+  void send_end_to_all(Segment segment);
 
   Loop& loop_;
   Logger& log_;
@@ -65,6 +70,7 @@
   std::deque<Segment> undelivered_ends_;
   bool announced_ready_ = false;
   bool stopping_ = false;
+  Loop::TimerId heartbeat_timer_ = 0;
 };
 
 }  // namespace quartzarch::link
--- a/src/link/message.hpp
+++ b/src/link/message.hpp
@@ -17,7 +17,7 @@
 namespace quartzarch::link {
 
 // From a forwarder: request, cancel, release. From a planner: answer, refuse, fail, call_ended and readiness,
-// which says whether the planner accepts new calls.
+// which says whether the planner accepts new calls and is repeated as a heartbeat.
 enum class MessageType : std::uint8_t {
   request = 1,
   cancel,
--- a/src/link/planners.cpp
+++ b/src/link/planners.cpp
@@ -13,6 +13,12 @@
 constexpr Duration kRetryAfterWhenDown = milliseconds(1000);
 constexpr std::size_t kMaxQueuedReleases = 10000;
 constexpr std::size_t kMaxCalls = 30000;
+constexpr std::size_t kMaxRetiredLinks = 8;
+// A planner is silent if nothing has come from it for this long; it sends a heartbeat several times as often.
+constexpr Duration kSilenceTimeout = milliseconds(1500);
+constexpr Duration kCheckInterval = milliseconds(100);
+// Callers must learn of a call's end within 8 s, also where a planner cannot pass it on.
+constexpr Duration kUnreachableAfter = milliseconds(6700);
 
 // A 64-bit finalizer (that of SplitMix64): each input bit affects all output bits.
 std::uint64_t mix_bits(std::uint64_t value) {
@@ -36,22 +42,33 @@
   return best;
 }
 
-Planners::Planners(Loop& loop, Logger& log, const std::vector<sockaddr_in>& addresses)
-    : loop_(loop), log_(log) {
-  for (const sockaddr_in& address : addresses) planners_.push_back({address, nullptr, {}, false, 0});
-  for (std::size_t i = 0; i < planners_.size(); ++i) connect(i);
+Planners::Planners(Loop& loop, Logger& log, const std::vector<sockaddr_in>& addresses,
+                   Duration longest_deadline)
+    : loop_(loop), log_(log), longest_deadline_(longest_deadline), checked_at_(loop.now()) {
+  planners_.resize(addresses.size());
+  for (std::size_t i = 0; i < planners_.size(); ++i) {
+    planners_[i].address = addresses[i];
+    connect(i);
+  }
+  check_timer_ = loop_.at(loop_.now() + kCheckInterval, [this] { check_links(); });
 }
 
 Planners::~Planners() {
+  loop_.cancel(check_timer_);
+  if (deadline_timer_) loop_.cancel(*deadline_timer_);
+  for (RetiredLink& link : retired_links_) link.stream->close();
   for (Planner& planner : planners_) {
     loop_.cancel(planner.reconnect_timer);
     if (planner.stream) planner.stream->close();
   }
 }
 
-void Planners::connect(std::size_t planner) {
-  planners_[planner].stream = std::make_shared<Stream>(loop_, planners_[planner].address, kConnectTimeout,
-                                                       static_cast<Stream::Owner&>(*this), Priority::servers);
+void Planners::connect(std::size_t at) {
+  Planner& planner = planners_[at];
+  planner.stream = std::make_shared<Stream>(loop_, planner.address, kConnectTimeout,
+                                            static_cast<Stream::Owner&>(*this), Priority::servers);
+  planner.link = ++last_link_;
+  planner.readiness_known = planner.sends_heartbeats = false;
 }
 
 std::size_t Planners::index_of(const Stream& stream) const {
@@ -81,11 +98,43 @@
   const auto planner = choose_planner(call);
   // Without a ready planner the call cannot be set up, so the caller is refused at once.
   if (!planner || calls_.size() >= kMaxCalls) return front.refuse(call, kRetryAfterWhenDown);
-  calls_[call] = {*planner, &front, true};
+  calls_[call] = {*planner, planners_[*planner].link, &front, true};
   ++pending_answers_;
+  const Duration wait = std::min(request.caller_timeout.value_or(longest_deadline_), longest_deadline_);
+  const auto deadline = deadlines_.emplace(request.received_at + wait, call);
+  if (deadline == deadlines_.begin()) arm_deadline_timer();
   planners_[*planner].stream->send(encode(std::move(request), loop_.now()));
 }
 
+void Planners::arm_deadline_timer() {
+  if (deadline_timer_) loop_.cancel(*std::exchange(deadline_timer_, std::nullopt));
+  if (deadlines_.empty()) return;
+  deadline_timer_ = loop_.at(deadlines_.begin()->first, [this] {
+    deadline_timer_.reset();
+    fail_overdue_calls();
+    arm_deadline_timer();
+  });
+}
+
+void Planners::fail_overdue_calls() {
+  while (!deadlines_.empty() && deadlines_.begin()->first <= loop_.now()) {
+    const CallId call = deadlines_.begin()->second;
+    deadlines_.erase(deadlines_.begin());
+    const auto found = calls_.find(call);
+    if (found == calls_.end() || !found->second.unanswered) continue;
+    log_.call_line("call %016llx: no result of planner %zu at its deadline, failed",
+                   static_cast<unsigned long long>(call), found->second.planner);
+    fail_call(call, Failure::timed_out);
+  }
+}
+
+// Cancels the call at its planner, which may still work on it, and gives it its final answer.
+void Planners::fail_call(CallId call, Failure why) {
+  Front& front = *calls_.at(call).front;
+  cancel(call);
+  front.fail(call, why);
+}
+
 void Planners::mark_answered(CallId call) {
   const auto found = calls_.find(call);
   if (found != calls_.end() && std::exchange(found->second.unanswered, false)) --pending_answers_;
@@ -102,11 +151,7 @@
 
 void Planners::fail_pending_calls() {
   for (const CallId call : unanswered_calls(std::nullopt)) {
-    const auto found = calls_.find(call);
-    if (found == calls_.end()) continue;
-    Front& front = *found->second.front;
-    cancel(call);
-    front.fail(call, Failure::error);
+    if (calls_.count(call) > 0) fail_call(call, Failure::error);
   }
 }
 
@@ -114,7 +159,7 @@
   const auto found = calls_.find(call);
   if (found == calls_.end() || !found->second.unanswered) return;
   mark_answered(call);
-  if (Planner& planner = planners_[found->second.planner]; planner.ready) {
+  if (Planner& planner = planners_[found->second.planner]; planner.stream && planner.stream->up()) {
     planner.stream->send(encode(MessageType::cancel, call));
   }
   calls_.erase(found);
@@ -145,18 +190,21 @@
 
 // ---- Messages and connections of the planners
 
-void Planners::on_connected(Stream&) {}
+void Planners::on_connected(Stream& stream) {
+  if (const std::size_t at = index_of(stream); at < planners_.size()) planners_[at].heard_at = loop_.now();
+}
 
 void Planners::on_data(Stream& stream) {
+  const std::size_t at = index_of(stream);
+  if (at == planners_.size()) return read_retired_link(stream);
   while (stream.alive()) {
     LinkMessage message;
     std::size_t length = 0;
     const DecodeResult result = decode(stream.input(), message, length);
     if (result == DecodeResult::incomplete) return;
-    const std::size_t planner = index_of(stream);
-    if (planner == planners_.size()) return;
-    if (result == DecodeResult::malformed || !handle(planner, message)) {
-      log_.line("link: malformed message from planner %zu, connection closed", planner);
+    planners_[at].heard_at = loop_.now();
+    if (result == DecodeResult::malformed || !handle(at, message)) {
+      log_.line("link: malformed message from planner %zu, connection closed", at);
       stream.close();
       return on_disconnected(stream, DisconnectReason::closed);
     }
@@ -164,59 +212,101 @@
   }
 }
 
+// Of what a planner sent before it noticed that its link is not used any more, only the ends of calls count.
+void Planners::read_retired_link(Stream& stream) {
+  const auto link = find_retired(stream);
+  if (link == retired_links_.end()) return;
+  link->heard_at = loop_.now();
+  LinkMessage message;
+  std::size_t length = 0;
+  DecodeResult result = DecodeResult::complete;
+  while ((result = decode(stream.input(), message, length)) == DecodeResult::complete) {
+    if (message.type == MessageType::call_ended) handle_call_ended(link->planner, message);
+    stream.consume(length);
+  }
+  if (result == DecodeResult::malformed) drop_retired_link(link);
+}
+
 bool Planners::handle(std::size_t at, const LinkMessage& message) {
-  Planner& planner = planners_[at];
-  if (message.type == MessageType::readiness) {
-    const bool ready = message.number(0) != 0;
-    if (ready != planner.ready) log_.line("link: planner %zu %s", at, ready ? "ready" : "not ready");
-    planner.ready = ready;
-    while (ready && !planner.queued_releases.empty()) {
-      planner.stream->send(std::move(planner.queued_releases.front()));
-      planner.queued_releases.pop_front();
-    }
-    return true;
+  switch (message.type) {
+    case MessageType::readiness:
+      handle_readiness(planners_[at], message.number(0) != 0);
+      return true;
+    case MessageType::call_ended:
+      return handle_call_ended(at, message);
+    case MessageType::answer:
+    case MessageType::refuse:
+    case MessageType::fail:
+      handle_result(at, message);
+      return true;
+    default:
+      return false;
   }
+}
+
+void Planners::handle_readiness(Planner& planner, bool ready) {
+  planner.sends_heartbeats |= std::exchange(planner.readiness_known, true);
+  if (ready != planner.ready) {
+    const auto at = static_cast<std::size_t>(&planner - planners_.data());
+    log_.line("link: planner %zu %s", at, ready ? "ready" : "not ready");
+  }
+  planner.ready = ready;
+  while (ready && !planner.queued_releases.empty()) {
+    planner.stream->send(std::move(planner.queued_releases.front()));
+    planner.queued_releases.pop_front();
+  }
+}
+
+// The call is established here or was set up before this process started.
+bool Planners::handle_call_ended(std::size_t at, const LinkMessage& message) {
   const auto found = calls_.find(message.call);
   const bool known = found != calls_.end() && found->second.planner == at;
-  if (message.type == MessageType::call_ended) {
-    // The call is established here or was set up before this process started.
-    Front* const front = known ? found->second.front : unknown_call_front_;
-    if (known && found->second.unanswered) return false;
-    if (known) calls_.erase(found);
-    if (front) front->call_ended(message.call, static_cast<int>(message.number(0)));
-    return true;
-  }
-  if (message.type != MessageType::answer && message.type != MessageType::refuse &&
-      message.type != MessageType::fail)
-    return false;
+  if (known && found->second.unanswered) return false;
+  Front* const front = known ? found->second.front : unknown_call_front_;
+  if (known) calls_.erase(found);
+  if (front) front->call_ended(message.call, static_cast<int>(message.number(0)));
+  return true;
+}
+
+void Planners::handle_result(std::size_t at, const LinkMessage& message) {
+  const auto found = calls_.find(message.call);
   // The result crossed a cancel or release on the link. The call has ended here; the planner ends it when it
   // gets that message.
-  if (!known || !found->second.unanswered) return true;
+  if (found == calls_.end() || found->second.planner != at || !found->second.unanswered) return;
   Front& front = *found->second.front;
   mark_answered(message.call);
   if (message.type == MessageType::answer) {
     front.answer(message.call, std::string(message.text(0)));
-    return true;
+    return;
   }
   calls_.erase(found);
   if (message.type == MessageType::fail) {
     front.fail(message.call, message.number(0) != 0 ? Failure::timed_out : Failure::error);
-  } else {
-    const auto retry_after = message.number(0);
-    front.refuse(message.call, retry_after < 0 ? std::nullopt : std::optional(Duration{retry_after}));
+    return;
   }
-  return true;
+  const auto retry_after = message.number(0);
+  front.refuse(message.call, retry_after < 0 ? std::nullopt : std::optional(Duration{retry_after}));
 }
 
-// A lost planner gives up the attempts of its unanswered calls, so each of these fails here now, which is its
-// one final answer. Established calls continue; their releases are queued until the planner is back.
 void Planners::on_disconnected(Stream& stream, DisconnectReason) {
   const std::size_t at = index_of(stream);
-  if (at == planners_.size()) return;
+  if (at == planners_.size()) {
+    const auto retired = find_retired(stream);
+    if (retired != retired_links_.end()) drop_retired_link(retired);
+    return;
+  }
+  loop_.keep_until_pass_end(std::exchange(planners_[at].stream, nullptr));
+  if (planners_[at].ready) log_.line("link: planner %zu lost", at);
+  lose_link(at, stream.unsent());
+}
+
+// A planner whose link is lost gives up the attempts of its unanswered calls, so each of these fails here
+// now, which is its one final answer. Established calls continue; their releases are queued until the planner
+// is back.
+void Planners::lose_link(std::size_t at, const std::deque<Segment>& unsent) {
   Planner& planner = planners_[at];
-  loop_.keep_until_pass_end(std::exchange(planner.stream, nullptr));
-  if (std::exchange(planner.ready, false)) log_.line("link: planner %zu lost", at);
-  for (const Segment& segment : stream.unsent()) {
+  planner.ready = false;
+  for (const Segment& segment : unsent) {
     if (decode_head(segment).type == MessageType::release &&
         planner.queued_releases.size() < kMaxQueuedReleases) {
       planner.queued_releases.push_back(segment);
@@ -236,4 +326,67 @@
   }
 }
 
+// ---- Planners that fall silent
+
+void Planners::check_links() {
+  // If this process stood still, what the planners sent meanwhile may not have been read yet.
+  const Duration stood_still = loop_.now() - checked_at_ - kCheckInterval;
+  checked_at_ = loop_.now();
+  for (std::size_t at = 0; at < planners_.size(); ++at) {
+    if (stood_still > kCheckInterval) planners_[at].heard_at += stood_still;
+    if (is_silent(planners_[at])) retire_link(at);
+  }
+  for (const RetiredLink& link : retired_links_) {
+    if (loop_.now() - link.heard_at >= kUnreachableAfter) end_unreachable_calls(link);
+  }
+  check_timer_ = loop_.at(loop_.now() + kCheckInterval, [this] { check_links(); });
+}
+
+bool Planners::is_silent(const Planner& planner) const {
+  const bool expected = !planner.readiness_known || planner.sends_heartbeats;
+  return expected && planner.stream && planner.stream->up() &&
+         loop_.now() - planner.heard_at > kSilenceTimeout;
+}
+
+// The planner hears of this when it can be reached again, and may send ends of calls on the link until then.
+void Planners::retire_link(std::size_t at) {
+  Planner& planner = planners_[at];
+  log_.line("link: planner %zu silent, connection closed", at);
+  const std::deque<Segment> unsent = planner.stream->stop_sending();
+  retired_links_.push_back({at, planner.link, std::exchange(planner.stream, nullptr), planner.heard_at});
+  if (retired_links_.size() > kMaxRetiredLinks) {
+    end_unreachable_calls(retired_links_.front());
+    drop_retired_link(retired_links_.begin());
+  }
+  lose_link(at, unsent);
+}
+
+std::list<Planners::RetiredLink>::iterator Planners::find_retired(const Stream& stream) {
+  return std::find_if(retired_links_.begin(), retired_links_.end(),
+                      [&](const RetiredLink& link) { return link.stream.get() == &stream; });
+}
+
+void Planners::drop_retired_link(std::list<RetiredLink>::iterator link) {
+  link->stream->close();
+  loop_.keep_until_pass_end(std::move(link->stream));
+  retired_links_.erase(link);
+}
+
+// The calls may go on at their setup servers, so they are released there once the planner can be reached.
+void Planners::end_unreachable_calls(const RetiredLink& link) {
+  std::vector<CallId> calls;
+  for (const auto& [call, known] : calls_) {
+    if (!known.unanswered && known.link == link.link) calls.push_back(call);
+  }
+  if (calls.empty()) return;
+  std::sort(calls.begin(), calls.end());
+  log_.line("link: planner %zu silent, %zu calls cut", link.planner, calls.size());
+  for (const CallId call : calls) {
+    Front& front = *calls_.at(call).front;
+    calls_.erase(call);
+    release_at(link.planner, call, cause::kTemporary);
+    front.call_ended(call, cause::kTemporary);
+  }
+}
+
 }  // namespace quartzarch::link
--- a/src/serve.cpp
+++ b/src/serve.cpp
@@ -320,7 +320,7 @@
 void serve_as_forwarder(Loop& loop, Logger& log, Service& service, const Config& config,
                         const std::optional<sip::FrontConfig>& sip,
                         const std::vector<sockaddr_in>& addresses) {
-  link::Planners planners(loop, log, addresses);
+  link::Planners planners(loop, log, addresses, config.instance.longest_deadline);
   Fronts fronts(loop, log, planners, config, sip);
   planners.set_unknown_call_front(fronts.fallback_front());
   log.line("%s: forwarding at %s to %zu planners", config.name.c_str(), address_text(config.listen).c_str(),
--- a/tests/link_test.cpp
+++ b/tests/link_test.cpp
@@ -7,6 +7,8 @@
 namespace quartzarch::test {
 namespace {
 
+constexpr Duration kLongestDeadline = std::chrono::seconds(9);
+
 class ForwarderAndPlanner : public Program {
  protected:
   ForwarderAndPlanner() {
@@ -14,7 +16,8 @@
     link_server = std::make_unique<link::LinkServer>(loop, log, *planner, any_port());
     planner->set_unknown_call_front(*link_server);
     open_server();
-    planners = std::make_unique<link::Planners>(loop, log, std::vector{link_server->address()});
+    planners =
+        std::make_unique<link::Planners>(loop, log, std::vector{link_server->address()}, kLongestDeadline);
     front = std::make_unique<BinaryFront>(loop, log, *planners, any_port(), 64, 1 << 20);
     planners->set_unknown_call_front(*front);
     wait_until([&] { return planners->ready(); }, "the link to be ready");
@@ -68,7 +71,8 @@
   planners.reset();
   wait_to_receive(server, "{\"op\":\"end\",\"call\":\"00000000000000bb\"");
   EXPECT_EQ(planner->pending_answers(), 0u);
-  planners = std::make_unique<link::Planners>(loop, log, std::vector{link_server->address()});
+  planners =
+      std::make_unique<link::Planners>(loop, log, std::vector{link_server->address()}, kLongestDeadline);
   front = std::make_unique<BinaryFront>(loop, log, *planners, any_port(), 64, 1 << 20);
   planners->set_unknown_call_front(*front);
   Peer other = connect_caller();
@@ -87,6 +91,104 @@
   wait_to_receive(gateway, binary(9, 0xbb, {{210, "s"}}));
 }
 
+// A forwarder with a scripted planner that can fall silent: its link stays open and quiet.
+class ForwarderAndScriptedPlanner : public Program {
+ protected:
+  ForwarderAndScriptedPlanner() {
+    front.reset();
+    planners = std::make_unique<link::Planners>(loop, log, std::vector{listener.address()}, kLongestDeadline);
+    front = std::make_unique<BinaryFront>(loop, log, *planners, any_port(), 64, 1 << 20);
+    planners->set_unknown_call_front(*front);
+    wait_until([this] { return static_cast<bool>(link = listener.accept()); }, "the link");
+    say(link::MessageType::readiness, 0, {"1"});
+    say(link::MessageType::readiness, 0, {"1"});
+    wait_until([this] { return planners->ready(); }, "the link to be ready");
+    gateway = connect_caller();
+  }
+  void say(link::MessageType type, CallId call, const std::vector<std::string>& values,
+           const std::string& body = {}) {
+    const Segment segment = link::encode(type, call, values, body);
+    link.send(segment.head + segment.body);
+  }
+  void request(CallId call, const std::string& ms) {
+    gateway.send(setup(call, "d", ms));
+    wait_until([this] { return planners->pending_answers() == 1; }, "the request");
+    run_passes(3);
+  }
+  void establish() {
+    request(0xaa, "5000");
+    say(link::MessageType::answer, 0xaa, {}, "s");
+    wait_to_receive(gateway, binary(9, 0xaa, {{210, "s"}}));
+    gateway.take_received();
+  }
+  void pass_time(Duration time, bool with_heartbeats) {
+    for (const Duration until = clock_offset + time; clock_offset < until;) {
+      clock_offset += milliseconds(50);
+      if (with_heartbeats) say(link::MessageType::readiness, 0, {"1"});
+      run_passes(3);
+    }
+  }
+
+  const FrozenClock held;
+  std::unique_ptr<link::Planners> planners;
+  Peer link, gateway;
+};
+
+// Guards against: a planner that cannot be reached is sent calls, and those have no final answer, since only
+// an answer or the end of the link gave them one.
+TEST_F(ForwarderAndScriptedPlanner, CallsAtASilentPlannerFailAndNewOnesAreRefusedAtOnce) {
+  request(0xaa, "5000");
+  pass_time(milliseconds(1700), false);
+  EXPECT_EQ(gateway.take_received(), binary(12, 0xaa, {{208, std::string(1, 41)}}));
+  EXPECT_FALSE(planners->ready());
+  gateway.send(setup(0xbb, "d"));
+  wait_to_receive(gateway, binary(12, 0xbb, {{208, std::string(1, 42)}, {192, "1000"}}));
+}
+
+// Guards against: a planner that lives and never answers leaves a call without its final answer.
+TEST_F(ForwarderAndScriptedPlanner, AnUnansweredCallFailsAtItsDeadlineWhateverItsPlannerDoes) {
+  request(0xaa, "2000");
+  pass_time(milliseconds(1950), true);
+  EXPECT_EQ(gateway.received(), "");
+  pass_time(milliseconds(100), true);
+  EXPECT_EQ(gateway.received(), binary(12, 0xaa, {{208, std::string(1, 18)}}));
+  say(link::MessageType::answer, 0xaa, {}, "s");
+  pass_time(milliseconds(100), true);
+  EXPECT_EQ(count(gateway.received(), binary(12, 0xaa).substr(2)), 1u) << "one final answer";
+  EXPECT_EQ(count(gateway.received(), binary(9, 0xaa).substr(2)), 0u);
+}
+
+// Guards against: the end of a call is sent on a link that was silent and is not read any more.
+TEST_F(ForwarderAndScriptedPlanner, AnEndOnASilentLinkIsToldWhenItsSilenceIsOver) {
+  establish();
+  pass_time(milliseconds(1700), false);
+  ASSERT_FALSE(planners->ready());
+  say(link::MessageType::call_ended, 0xaa, {"16"});
+  wait_to_receive(gateway, binary(12, 0xaa, {{208, "\x10"}}));
+}
+
+// Guards against: a call ends while its planner cannot be reached, and its caller is not told within 8 s.
+TEST_F(ForwarderAndScriptedPlanner, CallsOfAPlannerThatStaysSilentAreToldOverInTime) {
+  establish();
+  pass_time(milliseconds(6500), false);
+  EXPECT_EQ(gateway.received(), "");
+  pass_time(milliseconds(500), false);
+  EXPECT_EQ(gateway.received(), binary(12, 0xaa, {{208, std::string(1, 41)}}));
+}
+
+// A planner without anything to say is not silent: heartbeats keep its link.
+TEST_F(ForwarderAndPlanner, AQuietPlannerStaysReady) {
+  const FrozenClock held;
+  Peer gateway = gateway_with_established_call();
+  for (int step = 0; step < 200; ++step) {
+    clock_offset += milliseconds(50);
+    run_passes(3);
+    ASSERT_TRUE(planners->ready());
+  }
+  server.send(line("end", "00000000000000aa", "\"why\":16"));
+  wait_to_receive(gateway, binary(12, 0xaa, {{208, "\x10"}}));
+}
+
 TEST(Rendezvous, SharesCallsEvenlyAndMovesOnlyThoseOfThePlannerThatIsDown) {
   std::vector<std::size_t> share(3);
   for (CallId call = 1; call <= 3000; ++call) {
