What was heard of a call before its connection ended stays heard

Change: EndTracker keeps for each call whose connection is gone until when its end had been heard there; a break or a closing for good holds the time where it was and takes nothing back. Tests are frequent while a break is not mended.

--- a/src/core/end_tracker.cpp
+++ b/src/core/end_tracker.cpp
@@ -7,7 +7,7 @@
 void EndTracker::connection_up(ConnectionId connection, Time begun_at, Time now) {
   connections_[connection].last_received = begun_at;
   last_connected_at_ = now;
-  if (broken_at_ && begun_at >= *broken_at_) broken_at_.reset();
+  if (break_ && begun_at >= break_->at) break_.reset();
 }
 
 void EndTracker::line_received(ConnectionId connection, Time now) {
@@ -16,40 +16,45 @@
 }
 
 void EndTracker::retire(ConnectionId connection, Time now) {
-  const auto found = connections_.find(connection);
-  if (found == connections_.end()) return;
-  found->second.retired = true;
-  frequent_tests_until_ = now + kFrequentTestsFor;
+  if (const auto found = connections_.find(connection); found != connections_.end())
+    found->second.retired_at = now;
 }
 
 void EndTracker::connection_ended(ConnectionId connection, Time now) {
   const auto found = connections_.find(connection);
   if (found == connections_.end()) return;
-  orphaned_calls_.merge(found->second.calls);
+  const Time heard = heard_until(found->second);
+  break_ = Break{now, break_ ? std::min(break_->heard_until, heard) : heard};
+  orphan_calls(found->second);
   connections_.erase(found);
-  broken_at_ = now;
-  const bool others_retired = std::any_of(connections_.begin(), connections_.end(),
-                                          [](const auto& item) { return item.second.retired; });
-  if (!others_retired) frequent_tests_until_ = now + 2 * kFrequentTestAfter;
 }
 
 void EndTracker::connection_abandoned(ConnectionId connection) {
   const auto found = connections_.find(connection);
   if (found == connections_.end()) return;
-  orphaned_calls_.merge(found->second.calls);
+  const Time heard = heard_until(found->second);
+  orphan_calls(found->second);
   connections_.erase(found);
-  abandoned_ = !orphaned_calls_.empty();
+  if (!orphaned_calls_.empty())
+    abandoned_heard_until_ = std::min(abandoned_heard_until_.value_or(heard), heard);
+}
+
+void EndTracker::orphan_calls(const Connection& gone) {
+  for (const CallId call : gone.calls) orphaned_calls_[call] = heard_until(gone);
 }
 
 void EndTracker::call_established(CallId call, ConnectionId connection) {
-  const auto found = connections_.find(connection);
-  (found == connections_.end() ? orphaned_calls_ : found->second.calls).insert(call);
+  if (const auto found = connections_.find(connection); found != connections_.end()) {
+    found->second.calls.insert(call);
+  } else {
+    orphaned_calls_[call] = last_connected_at_;
+  }
 }
 
 void EndTracker::call_ended(CallId call) {
   orphaned_calls_.erase(call);
   for (auto& [id, connection] : connections_) connection.calls.erase(call);
-  if (orphaned_calls_.empty()) abandoned_ = false;
+  if (orphaned_calls_.empty()) abandoned_heard_until_.reset();
 }
 
 Time EndTracker::heard_until(const Connection& connection) const {
@@ -57,22 +62,40 @@
 }
 
 // The server may send the end of such a call on any connection that it has open, so the one that was silent
-// for longest counts. If it may use one that is not read here, only a new connection brings the end for sure.
+// for longest counts. Where it may have used one that is gone, only a new connection brings news.
 Time EndTracker::orphans_heard_until() const {
-  if (connections_.empty() || broken_at_ || abandoned_) return last_connected_at_;
-  const auto quietest = std::min_element(
-      connections_.begin(), connections_.end(),
-      [](const auto& a, const auto& b) { return a.second.last_received < b.second.last_received; });
-  return heard_until(quietest->second);
+  std::optional<Time> heard;
+  const auto at_most = [&heard](Time time) { heard = std::min(heard.value_or(time), time); };
+  for (const auto& [id, connection] : connections_) at_most(connection.last_received);
+  if (break_) at_most(break_->heard_until);
+  if (abandoned_heard_until_) at_most(*abandoned_heard_until_);
+  return std::max(heard.value_or(last_connected_at_), last_connected_at_);
+}
+
+std::vector<CallId> EndTracker::orphans_unheard_since(Time time) const {
+  std::vector<CallId> calls;
+  if (orphans_heard_until() > time) return calls;
+  for (const auto& [call, heard] : orphaned_calls_) {
+    if (heard <= time) calls.push_back(call);
+  }
+  return calls;
+}
+
+bool EndTracker::tests_are_frequent(Time now) const {
+  const auto recent = [now](Time at) { return now - at < kFrequentTestsFor; };
+  if (break_ && recent(break_->at)) return true;
+  return std::any_of(connections_.begin(), connections_.end(), [&](const auto& item) {
+    return item.second.retired_at && recent(*item.second.retired_at);
+  });
 }
 
 bool EndTracker::new_connection_due(Time now) const {
-  const Duration of_gone = now < frequent_tests_until_ ? kFrequentTestAfter : kLivenessTestAfter;
+  const Duration of_gone = tests_are_frequent(now) ? kFrequentTestAfter : kLivenessTestAfter;
   for (const auto& [id, connection] : connections_) {
-    const Duration longest = connection.retired ? of_gone : kLivenessTestAfter;
+    const Duration longest = connection.retired_at ? of_gone : kLivenessTestAfter;
     if (!connection.calls.empty() && heard_until(connection) <= now - longest) return true;
   }
-  return !orphaned_calls_.empty() && orphans_heard_until() <= now - of_gone;
+  return !orphans_unheard_since(now - of_gone).empty();
 }
 
 std::vector<CallId> EndTracker::calls_unheard_for(Duration silence, Time now) const {
@@ -81,8 +104,8 @@
     if (heard_until(connection) <= now - silence)
       calls.insert(calls.end(), connection.calls.begin(), connection.calls.end());
   }
-  if (orphans_heard_until() <= now - silence)
-    calls.insert(calls.end(), orphaned_calls_.begin(), orphaned_calls_.end());
+  const std::vector<CallId> orphans = orphans_unheard_since(now - silence);
+  calls.insert(calls.end(), orphans.begin(), orphans.end());
   return calls;
 }
 
--- a/src/core/end_tracker.hpp
+++ b/src/core/end_tracker.hpp
@@ -23,8 +23,8 @@
 using ConnectionId = std::uint64_t;
 
 // An end that was sent may stay unheard for this long before a new connection is opened, on which the server
-// repeats it. After a connection was retired or ended, the calls that stood on it are tested more often for
-// kFrequentTestsFor: there an end is likely to be on its way.
+// repeats it. Calls whose connection was retired or has ended are tested more often for kFrequentTestsFor:
+// there an end is likely to be on its way.
 inline constexpr Duration kLivenessTestAfter = std::chrono::milliseconds(4500);
 inline constexpr Duration kFrequentTestAfter = std::chrono::milliseconds(750);
 inline constexpr Duration kFrequentTestsFor = std::chrono::seconds(10);
@@ -56,7 +56,7 @@
 
  private:
   struct Connection {
-    bool retired = false;
+    std::optional<Time> retired_at{};
     Time last_received{};
     std::set<CallId> calls{};  // established on it
   };
@@ -65,13 +65,22 @@
   // connection is gone, has been received.
   Time heard_until(const Connection& connection) const;
   Time orphans_heard_until() const;
+  std::vector<CallId> orphans_unheard_since(Time time) const;
+  void orphan_calls(const Connection& gone);
+  bool tests_are_frequent(Time now) const;
 
   std::map<ConnectionId, Connection> connections_;
-  std::set<CallId> orphaned_calls_;  // their connection is gone
-  Time last_connected_at_;           // when the latest connection came up
-  std::optional<Time> broken_at_{};  // a connection ended then, and none was begun and came up since
-  bool abandoned_ = false;           // a connection was abandoned while calls of that time go on
-  Time frequent_tests_until_{};
+  std::map<CallId, Time> orphaned_calls_;  // their connection is gone; until when their ends were heard on it
+  Time last_connected_at_;                 // when the latest connection came up
+  // A connection ended at `at`, and none was begun and came up since; up to `heard_until` its ends were
+  // heard.
+  struct Break {
+    Time at{};
+    Time heard_until{};
+  };
+  std::optional<Break> break_{};
+  // Until then the ends on a connection were heard that was abandoned while calls of that time go on.
+  std::optional<Time> abandoned_heard_until_{};
 };
 
 }  // namespace quartzarch
--- a/tests/end_tracker_test.cpp
+++ b/tests/end_tracker_test.cpp
@@ -70,6 +70,21 @@
   EXPECT_FALSE(ends.new_connection_due(now));
 }
 
+// Guards against: calls are given up since a connection has ended and the next one does not come up at once,
+// although all their ends were heard until then.
+TEST_F(Ends, ABreakTakesNothingBackOfWhatWasHeardBefore) {
+  ends.connection_up(kThird, now, now);  // carries no call and brings nothing
+  for (const Time until = now + seconds(60); now < until; now += milliseconds(100)) {
+    ends.line_received(kFirst, now);
+    ends.line_received(kSecond, now);
+  }
+  ends.connection_ended(kFirst, now);
+  pass(seconds(2));
+  EXPECT_TRUE(ends.calls_unheard_for(milliseconds(2500), now).empty());
+  EXPECT_FALSE(ends.calls_unheard_for(seconds(2), now).empty());
+  EXPECT_TRUE(ends.new_connection_due(now));
+}
+
 TEST_F(Ends, ASoundConnectionIsTestedOnlyAfterALongSilence) {
   pass(kLivenessTestAfter - milliseconds(100));
   EXPECT_FALSE(ends.new_connection_due(now));
