--- a/src/net/servers.cpp
+++ b/src/net/servers.cpp
@@ -174,9 +174,17 @@
 }
 
 void Servers::forget_attempts(CallId call) {
+  const auto mark_final = [call](QueuedMessage& what) {
+    if (what.offer.call == call) what.attempt_may_follow = false;
+  };
   for (auto& [id, state] : servers_) {
     state.unread_releases.forget(call);
     state.refused_offers.erase(call);
+    // Releases that are still to be sent, or sent once more, need not be tracked then.
+    for (QueuedMessage& what : state.queued) mark_final(what);
+    for (Connection& connection : state.connections) {
+      for (auto& [when, what] : connection.recent_releases) mark_final(what);
+    }
   }
 }
 
