SIP: the Via of responses is complete however a gateway writes rport

Cause: the parameter was found by the grammar and its place by the text ';rport'; where that is missing, the port was inserted at npos + 6.

Change: find_parameter tells where a parameter stands by the reading that finds its value. parse_via takes the white space that the grammar allows around '/' and ':'. The forwarder takes a longer deadline at SIGHUP, so that its own deadline of a call does not come before the planner's.

The forwarder's line has no test of its own.

--- a/src/front/sip/message.cpp
+++ b/src/front/sip/message.cpp
@@ -85,15 +85,25 @@
   return std::string_view::npos;
 }
 
+// Removes what is before the next `separator` and the separator itself from `rest`; returns it without white
+// space around it. Empty if there is none.
+std::string_view next_part(std::string_view& rest, char separator) {
+  const auto end = rest.find(separator);
+  if (end == std::string_view::npos) return {};
+  const std::string_view part = trimmed(rest.substr(0, end));
+  rest.remove_prefix(end + 1);
+  return part;
+}
+
 // Splits "host", "host:port" or "[v6]:port". False if the host is empty or the port is invalid; `port` stays
 // as it is if none is given.
 bool split_host_port(std::string_view text, std::string_view& host, int& port) {
   const auto bracket = text.rfind(']');
   const auto colon = text.find(':', bracket == std::string_view::npos ? 0 : bracket);
-  host = text.substr(0, colon);
+  host = trimmed(text.substr(0, colon));
   if (host.empty()) return false;
   if (colon == std::string_view::npos) return true;
-  const auto value = parse_number(text.substr(colon + 1));
+  const auto value = parse_number(trimmed(text.substr(colon + 1)));
   if (!value || *value == 0 || *value > 65535) return false;
   port = static_cast<int>(*value);
   return true;
@@ -205,19 +215,27 @@
   return all;
 }
 
-std::optional<std::string_view> parameter(std::string_view value, std::string_view name) {
+std::optional<Parameter> find_parameter(std::string_view value, std::string_view name) {
   for (auto at = find_unquoted(value, ';'); at != std::string_view::npos;
        at = find_unquoted(value, ';', at)) {
     ++at;
     const auto end = find_unquoted(value, ';', at);
     const std::string_view item = value.substr(at, end == std::string_view::npos ? end : end - at);
     const auto equals = item.find('=');
-    if (!equals_ignore_case(trimmed(item.substr(0, equals)), name)) continue;
-    return equals == std::string_view::npos ? std::string_view{} : trimmed(item.substr(equals + 1));
+    const std::string_view found = trimmed(item.substr(0, equals));
+    if (!equals_ignore_case(found, name)) continue;
+    if (equals != std::string_view::npos)
+      return Parameter{at + equals + 1, true, trimmed(item.substr(equals + 1))};
+    return Parameter{static_cast<std::size_t>(found.data() - value.data()) + found.size(), false, {}};
   }
   return std::nullopt;
 }
 
+std::optional<std::string_view> parameter(std::string_view value, std::string_view name) {
+  const auto found = find_parameter(value, name);
+  return found ? std::optional(found->value) : std::nullopt;
+}
+
 std::string_view uri_of(std::string_view value) {
   const auto open = value.find('<');
   if (open == std::string_view::npos) return trimmed(value.substr(0, value.find(';')));
@@ -252,17 +270,30 @@
 
 std::optional<Via> parse_via(std::string_view value) {
   Via via;
+  const std::string_view name = next_part(value, '/');
+  const std::string_view version = next_part(value, '/');
+  if (!equals_ignore_case(name, "SIP") || version != "2.0") return std::nullopt;
+  value = trimmed(value);
   const auto space = value.find_first_of(" \t");
   if (space == std::string_view::npos) return std::nullopt;
-  const std::string_view protocol = value.substr(0, space);
-  if (!protocol.starts_with("SIP/2.0/")) return std::nullopt;
-  via.transport = protocol.substr(8);
+  via.transport = value.substr(0, space);
   const std::string_view rest = value.substr(space);
   if (!split_host_port(trimmed(rest.substr(0, rest.find(';'))), via.host, via.port)) return std::nullopt;
   via.branch = parameter(rest, "branch").value_or(std::string_view{});
   return via;
 }
 
+std::string completed_via(std::string_view value, std::string_view source_address, int source_port) {
+  std::string line(value);
+  const std::string received = ";received=" + std::string(source_address);
+  const auto rport = find_parameter(value, "rport");
+  if (rport && rport->value.empty()) {
+    line.insert(rport->name_end, (rport->has_equals ? "" : "=") + std::to_string(source_port));
+    return line + received;
+  }
+  return parse_via(value)->host == source_address ? line : line + received;
+}
+
 std::optional<CSeq> parse_cseq(std::string_view value) {
   const auto space = value.find_first_of(" \t");
   if (space == std::string_view::npos) return std::nullopt;
--- a/src/front/sip/message.hpp
+++ b/src/front/sip/message.hpp
@@ -52,8 +52,15 @@
 // Compares without regard to case, as SIP does for header names, parameter names and tokens.
 bool equals_ignore_case(std::string_view a, std::string_view b);
 
-// The value of a parameter that follows a header's value or a URI: ";branch=z9hG4bK1" -> "z9hG4bK1". Nothing
-// if the parameter is absent, empty if it has no value.
+// A parameter that follows a header's value or a URI, such as ";branch=z9hG4bK1". Names are compared without
+// regard to case; there may be white space around ";" and "=" (RFC 3261, 25.1).
+struct Parameter {
+  std::size_t name_end = 0;  // position behind its name, or behind its "=" if it has one
+  bool has_equals = false;
+  std::string_view value{};
+};
+std::optional<Parameter> find_parameter(std::string_view value, std::string_view name);
+// The value of a parameter. Nothing if the parameter is absent, empty if it has no value.
 std::optional<std::string_view> parameter(std::string_view value, std::string_view name);
 
 // The URI between < and > or, without brackets, everything before the parameters.
@@ -75,6 +82,9 @@
   std::string_view branch{};
 };
 std::optional<Via> parse_via(std::string_view value);
+// A request's topmost Via, which must be valid, with what the receiver adds: the source address as "received"
+// if the sent-by names another one, and the source port as the value of an empty "rport" (RFC 3581).
+std::string completed_via(std::string_view value, std::string_view source_address, int source_port);
 
 struct CSeq {
   unsigned long number = 0;
--- a/src/front/sip/transactions.cpp
+++ b/src/front/sip/transactions.cpp
@@ -42,16 +42,9 @@
   return to;
 }
 
-// The topmost Via with the received parameter and the value of rport, where they are needed.
-std::string completed_via(std::string_view top, const Via& via, const Hop& from) {
-  std::string line(top);
-  const std::string seen = address_of(from.address);
-  if (const auto rport = parameter(top, "rport"); rport && rport->empty()) {
-    const auto at = line.find(";rport");
-    line.insert(at + 6, "=" + std::to_string(ntohs(from.address.sin_port)));
-    return line + ";received=" + seen;
-  }
-  return via.host == seen ? line : line + ";received=" + seen;
+// The header line of the topmost Via as the responses carry it.
+std::string top_via_line(std::string_view top, const Hop& from) {
+  return "Via: " + completed_via(top, address_of(from.address), ntohs(from.address.sin_port)) + "\r\n";
 }
 
 RequestInfo copy_request(const Message& message, const Hop& from) {
@@ -62,7 +55,7 @@
   const auto top = *parse_via(vias.front());
   request.reply_to = reply_hop(top, vias.front(), from);
   request.source = from.address;
-  request.vias = "Via: " + completed_via(vias.front(), top, from) + "\r\n";
+  request.vias = top_via_line(vias.front(), from);
   for (std::size_t i = 1; i < vias.size(); ++i) request.vias += "Via: " + std::string(vias[i]) + "\r\n";
   request.from = message.header("From");
   request.to = message.header("To");
@@ -162,7 +155,7 @@
     RequestInfo request;
     const auto top = *parse_via(vias.front());
     request.reply_to = reply_hop(top, vias.front(), from);
-    request.vias = "Via: " + completed_via(vias.front(), top, from) + "\r\n";
+    request.vias = top_via_line(vias.front(), from);
     request.from = message.header("From");
     request.to = message.header("To");
     request.call_id = message.header("Call-ID");
--- a/src/link/planners.hpp
+++ b/src/link/planners.hpp
@@ -34,6 +34,8 @@
   std::size_t pending_answers() const { return pending_answers_; }
   // Fails every unanswered call and cancels it at its planner. Used when the process stops.
   void fail_pending_calls();
+  // Of all classes, as read again at SIGHUP. Calls that have come keep their deadline.
+  void set_longest_deadline(Duration longest) { longest_deadline_ = longest; }
   // New calls that `drain` refuses are refused at once. It must outlive this object; null: no drain.
   void set_drain(const Drain* drain) { drain_ = drain; }
 
--- a/src/serve.cpp
+++ b/src/serve.cpp
@@ -343,7 +343,12 @@
                    },
                .end_connections = [&] { fronts.end_connections(); },
                .no_connections = [&] { return fronts.no_connections(); },
-               .reload = [&](const Config& fresh) { fronts.limit(fresh.limits); }});
+               .reload =
+                   [&](const Config& fresh) {
+                     fronts.limit(fresh.limits);
+                     planners.set_longest_deadline(
+                         std::max(config.instance.longest_deadline, fresh.instance.longest_deadline));
+                   }});
   fronts.end_sip_dialogs();
 }
 
--- a/tests/sip_test.cpp
+++ b/tests/sip_test.cpp
@@ -91,6 +91,19 @@
 INSTANTIATE_TEST_SUITE_P(Transports, SipTransports, ::testing::Values(TransportKind::udp, TransportKind::tcp),
                          [](const auto& each) { return each.param == TransportKind::udp ? "Udp" : "Tcp"; });
 
+// Guards against: an rport that is written with a space or in capitals spoils the Via of every response.
+TEST_F(Sip, AnRportIsAnsweredHoweverItIsWritten) {
+  for (const std::string rport : {";rport", "; rport", ";RPORT", " ;\tRport"}) {
+    Peer peer = gateway(TransportKind::udp);
+    std::string options = request(peer, TransportKind::udp, "OPTIONS", 1, "o1");
+    const std::string via = "Via: SIP/2.0/UDP " + peer.address() + ";branch=z9hG4bKo1";
+    options.insert(options.find(via) + via.size(), rport);
+    peer.send(options);
+    const std::string port = peer.address().substr(peer.address().find(':') + 1);
+    wait_to_receive(peer, via + rport + "=" + port + ";received=127.0.0.1\r\n");
+  }
+}
+
 // ---- Callers get the same results by the binary protocol and by SIP over UDP and TCP
 
 struct Outcome {
