SIP: the white space that a Via may have is not taken in URIs

Found by reading again: it trimmed host and port in split_host_port, which URIs share, so that "sip:a@h: 5060" was taken. RFC 3261 allows white space around the colon in a Via's sent-by only.

Change: split_host_port is as strict as before; the sent-by of a Via has its own split on the same two pieces.

--- a/src/front/sip/message.cpp
+++ b/src/front/sip/message.cpp
@@ -95,20 +95,35 @@
   return part;
 }
 
-// Splits "host", "host:port" or "[v6]:port". False if the host is empty or the port is invalid; `port` stays
-// as it is if none is given.
-bool split_host_port(std::string_view text, std::string_view& host, int& port) {
+// The position of the colon before the port in "host:port" or "[v6]:port".
+std::size_t find_port_colon(std::string_view text) {
   const auto bracket = text.rfind(']');
-  const auto colon = text.find(':', bracket == std::string_view::npos ? 0 : bracket);
-  host = trimmed(text.substr(0, colon));
-  if (host.empty()) return false;
-  if (colon == std::string_view::npos) return true;
-  const auto value = parse_number(trimmed(text.substr(colon + 1)));
+  return text.find(':', bracket == std::string_view::npos ? 0 : bracket);
+}
+
+bool parse_port(std::string_view text, int& port) {
+  const auto value = parse_number(text);
   if (!value || *value == 0 || *value > 65535) return false;
   port = static_cast<int>(*value);
   return true;
 }
 
+// Splits "host", "host:port" or "[v6]:port". False if the host is empty or the port is invalid; `port` stays
+// as it is if none is given.
+bool split_host_port(std::string_view text, std::string_view& host, int& port) {
+  const auto colon = find_port_colon(text);
+  host = text.substr(0, colon);
+  return !host.empty() && (colon == std::string_view::npos || parse_port(text.substr(colon + 1), port));
+}
+
+// The same for the sent-by of a Via, which may have white space around its colon.
+bool split_sent_by(std::string_view text, std::string_view& host, int& port) {
+  const auto colon = find_port_colon(text);
+  host = trimmed(text.substr(0, colon));
+  return !host.empty() &&
+         (colon == std::string_view::npos || parse_port(trimmed(text.substr(colon + 1)), port));
+}
+
 }  // namespace
 
 bool equals_ignore_case(std::string_view a, std::string_view b) {
@@ -278,7 +293,7 @@
   if (space == std::string_view::npos) return std::nullopt;
   via.transport = value.substr(0, space);
   const std::string_view rest = value.substr(space);
-  if (!split_host_port(trimmed(rest.substr(0, rest.find(';'))), via.host, via.port)) return std::nullopt;
+  if (!split_sent_by(rest.substr(0, rest.find(';')), via.host, via.port)) return std::nullopt;
   via.branch = parameter(rest, "branch").value_or(std::string_view{});
   return via;
 }
--- a/tests/sip_via_test.cpp
+++ b/tests/sip_via_test.cpp
@@ -81,6 +81,12 @@
   EXPECT_EQ(via->branch, "z9hG4bKa7c6a8dlze.1");
 }
 
+// Guards against: the white space that a Via may have is taken in URIs, which may have none.
+TEST(SipVia, ItsWhiteSpaceIsNotTakenInUris) {
+  EXPECT_TRUE(parse_uri("sip:gw@10.0.0.4:5060"));
+  EXPECT_FALSE(parse_uri("sip:gw@10.0.0.4: 5060"));
+}
+
 TEST(SipVia, OtherProtocolsAndMissingPartsAreNotTaken) {
   for (const char* bad : {"", "SIP", "SIP/2.0", "SIP/2.0/UDP", "SIP/2.0/UDP ;branch=x", "SIP/3.0/UDP a",
                           "XIP/2.0/UDP a", "SIP/2.0/UDP a:0", "SIP/2.0/UDP a:x"})
