Read again: releases are tracked from the give-up on, and what stood twice stands once

A call is now tracked from its give-up until it is forgotten, and writing a release records it only while the call is tracked. The flag and the walk are gone; UnreadReleases.AReleaseWrittenAfterItsCallWasForgottenIsNotTracked guards the case, which had no test. - EndTracker's two ways to lose a connection were copies of each other; both call remove(). - The 6.7 s after which a call is told over stood in two files: kEndUnheardTimeout. - A connection's end was noted in two pairs of calls, and a retired one looked for twice; a retired link's calls were looked for every 100 ms after they had been ended.

Behaviour is as before.

--- a/src/core/end_tracker.cpp
+++ b/src/core/end_tracker.cpp
@@ -21,26 +21,23 @@
 }
 
 void EndTracker::connection_ended(ConnectionId connection, Time now) {
-  const auto found = connections_.find(connection);
-  if (found == connections_.end()) return;
-  const Time heard = heard_until(found->second);
-  break_ = Break{now, break_ ? std::min(break_->heard_until, heard) : heard};
-  orphan_calls(found->second);
-  connections_.erase(found);
+  const std::optional<Time> heard = remove(connection);
+  if (heard) break_ = Break{now, break_ ? std::min(break_->heard_until, *heard) : *heard};
 }
 
 void EndTracker::connection_abandoned(ConnectionId connection) {
+  const std::optional<Time> heard = remove(connection);
+  if (heard && !orphaned_calls_.empty())
+    abandoned_heard_until_ = std::min(abandoned_heard_until_.value_or(*heard), *heard);
+}
+
+std::optional<Time> EndTracker::remove(ConnectionId connection) {
   const auto found = connections_.find(connection);
-  if (found == connections_.end()) return;
+  if (found == connections_.end()) return std::nullopt;
   const Time heard = heard_until(found->second);
-  orphan_calls(found->second);
+  for (const CallId call : found->second.calls) orphaned_calls_[call] = heard;
   connections_.erase(found);
-  if (!orphaned_calls_.empty())
-    abandoned_heard_until_ = std::min(abandoned_heard_until_.value_or(heard), heard);
-}
-
-void EndTracker::orphan_calls(const Connection& gone) {
-  for (const CallId call : gone.calls) orphaned_calls_[call] = heard_until(gone);
+  return heard;
 }
 
 void EndTracker::call_established(CallId call, ConnectionId connection) {
--- a/src/core/end_tracker.hpp
+++ b/src/core/end_tracker.hpp
@@ -28,6 +28,9 @@
 inline constexpr Duration kLivenessTestAfter = std::chrono::milliseconds(4500);
 inline constexpr Duration kFrequentTestAfter = std::chrono::milliseconds(750);
 inline constexpr Duration kFrequentTestsFor = std::chrono::seconds(10);
+// A call whose end may have been said this long ago, and cannot be heard, is told over to its caller, who
+// must learn of an end within 8 s.
+inline constexpr Duration kEndUnheardTimeout = std::chrono::milliseconds(6700);
 
 class EndTracker {
  public:
@@ -66,7 +69,9 @@
   Time heard_until(const Connection& connection) const;
   Time orphans_heard_until() const;
   std::vector<CallId> orphans_unheard_since(Time time) const;
-  void orphan_calls(const Connection& gone);
+  // Removes a connection, whose calls are orphaned then. Returns until when its ends were heard; absent if it
+  // is not known.
+  std::optional<Time> remove(ConnectionId connection);
   bool tests_are_frequent(Time now) const;
 
   std::map<ConnectionId, Connection> connections_;
--- a/src/core/unread_releases.cpp
+++ b/src/core/unread_releases.cpp
@@ -5,7 +5,8 @@
 namespace quartzarch {
 
 void UnreadReleases::written(CallId call, ConnectionId connection, WritePosition position) {
-  releases_[call].push_back({connection, position, std::nullopt});
+  if (const auto found = releases_.find(call); found != releases_.end())
+    found->second.push_back({connection, position, std::nullopt});
 }
 
 void UnreadReleases::confirmed(CallId call, ConnectionId connection) {
--- a/src/core/unread_releases.hpp
+++ b/src/core/unread_releases.hpp
@@ -27,7 +27,9 @@
 
 class UnreadReleases {
  public:
-  // A release of an attempt was written, and another attempt of the call may follow.
+  // An attempt of the call is given up, and another one may follow: its releases count from now on.
+  void track(CallId call) { releases_[call]; }
+  // A release of the call was written; without effect if the call is not tracked.
   void written(CallId call, ConnectionId connection, WritePosition position);
   // The server confirmed the release of the call on that connection. Servers need not confirm.
   void confirmed(CallId call, ConnectionId connection);
@@ -35,7 +37,7 @@
   void read_up_to(ConnectionId connection, WritePosition position);
   // Both sides know that the connection is gone.
   void connection_ended(ConnectionId connection, Time now);
-  // No further attempt of the call follows.
+  // No further attempt of the call follows: it is not tracked any more.
   void forget(CallId call) { releases_.erase(call); }
 
   bool tracks(CallId call) const { return releases_.count(call) > 0; }
--- a/src/link/planners.cpp
+++ b/src/link/planners.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "core/end_tracker.hpp"
+
 namespace quartzarch::link {
 namespace {
 
@@ -17,8 +19,6 @@
 // A planner is silent if nothing has come from it for this long; it sends a heartbeat several times as often.
 constexpr Duration kSilenceTimeout = milliseconds(1500);
 constexpr Duration kCheckInterval = milliseconds(100);
-// Callers must learn of a call's end within 8 s, also where a planner cannot pass it on.
-constexpr Duration kUnreachableAfter = milliseconds(6700);
 
 // A 64-bit finalizer (that of SplitMix64): each input bit affects all output bits.
 std::uint64_t mix_bits(std::uint64_t value) {
@@ -336,8 +336,8 @@
     if (stood_still > kCheckInterval) planners_[at].heard_at += stood_still;
     if (is_silent(planners_[at])) retire_link(at);
   }
-  for (const RetiredLink& link : retired_links_) {
-    if (loop_.now() - link.heard_at >= kUnreachableAfter) end_unreachable_calls(link);
+  for (RetiredLink& link : retired_links_) {
+    if (!link.calls_ended && loop_.now() - link.heard_at >= kEndUnheardTimeout) end_unreachable_calls(link);
   }
   check_timer_ = loop_.at(loop_.now() + kCheckInterval, [this] { check_links(); });
 }
@@ -373,7 +373,8 @@
 }
 
 // The calls may go on at their setup servers, so they are released there once the planner can be reached.
-void Planners::end_unreachable_calls(const RetiredLink& link) {
+void Planners::end_unreachable_calls(RetiredLink& link) {
+  link.calls_ended = true;
   std::vector<CallId> calls;
   for (const auto& [call, known] : calls_) {
     if (!known.unanswered && known.link == link.link) calls.push_back(call);
--- a/src/link/planners.hpp
+++ b/src/link/planners.hpp
@@ -70,6 +70,7 @@
     LinkId link = 0;
     std::shared_ptr<Stream> stream{};
     Time heard_at{};
+    bool calls_ended = false;  // none is left that was established on it
   };
 
   void on_connected(Stream& stream) override;
@@ -94,7 +95,7 @@
   // The planner's unanswered calls fail, and its link is made again.
   void lose_link(std::size_t planner, const std::deque<Segment>& unsent);
   // The ends of these established calls cannot be received any more: tells their callers that they are over.
-  void end_unreachable_calls(const RetiredLink& link);
+  void end_unreachable_calls(RetiredLink& link);
   void fail_call(CallId call, Failure why);
   void arm_deadline_timer();
   void fail_overdue_calls();
--- a/src/net/servers.cpp
+++ b/src/net/servers.cpp
@@ -27,9 +27,8 @@
 constexpr Duration kSilenceTimeout = milliseconds(3000);
 // Callers must learn of a call's end within 8 s even if its server could not report it. When the end of a
 // call may be on its way for too long (EndTracker), a new connection is opened as a liveness test, at most
-// one per kLivenessTestInterval. If none comes up, the call is given up after kUnreachableAfter.
+// one per kLivenessTestInterval. If none comes up, the call is given up after kEndUnheardTimeout.
 constexpr Duration kLivenessTestInterval = milliseconds(500);
-constexpr Duration kUnreachableAfter = milliseconds(6700);
 // After this time a server that is not silent has noticed that this process closed a connection.
 constexpr Duration kCloseSettleTime = milliseconds(250);
 // How often all connections are checked for silence and incomplete lines.
@@ -138,9 +137,12 @@
 // still be on its way, behind which the set-up is safe. Null if none is up.
 Servers::Connection* Servers::connection_for_offer(ServerState& state, CallId call) {
   const std::set<ConnectionId> releases = state.unread_releases.on_their_way(call, loop_.now());
-  if (releases.empty()) return best_connection(state);
+  return releases.empty() ? best_connection(state) : find_up(state, *releases.begin());
+}
+
+Servers::Connection* Servers::find_up(ServerState& state, ConnectionId id) {
   for (Connection& connection : state.connections) {
-    if (connection.up() && connection.id == *releases.begin()) return &connection;
+    if (connection.up() && connection.id == id) return &connection;
   }
   return nullptr;
 }
@@ -148,8 +150,7 @@
 bool Servers::is_safe_to_offer(ServerState& state, CallId call) {
   const std::set<ConnectionId> releases = state.unread_releases.on_their_way(call, loop_.now());
   if (releases.empty()) return true;
-  if (releases.size() > 1) return false;
-  const Connection* const connection = connection_for_offer(state, call);
+  const Connection* const connection = releases.size() == 1 ? find_up(state, *releases.begin()) : nullptr;
   return connection && !is_suspect(*connection);
 }
 
@@ -174,17 +175,9 @@
 }
 
 void Servers::forget_attempts(CallId call) {
-  const auto mark_final = [call](QueuedMessage& what) {
-    if (what.offer.call == call) what.attempt_may_follow = false;
-  };
   for (auto& [id, state] : servers_) {
     state.unread_releases.forget(call);
     state.refused_offers.erase(call);
-    // Releases that are still to be sent, or sent once more, need not be tracked then.
-    for (QueuedMessage& what : state.queued) mark_final(what);
-    for (Connection& connection : state.connections) {
-      for (auto& [when, what] : connection.recent_releases) mark_final(what);
-    }
   }
 }
 
@@ -261,7 +254,7 @@
 
 void Servers::offer(const ServerId& server, Offer offer) {
   ServerState& to = state_of(server);
-  QueuedMessage what{true, std::move(offer), 0, false};
+  QueuedMessage what{true, std::move(offer), 0};
   if (Connection* const connection = connection_for_offer(to, what.offer.call)) {
     if (!connection->in_flight.empty()) connect(to);  // so that the next set-up need not share this one
     return write(to, *connection, what);
@@ -301,22 +294,19 @@
 }
 
 void Servers::give_up(const ServerId& server, CallId call) {
-  QueuedMessage what{false, {}, cause::kNormal, true};
-  what.offer.call = call;
-  send_release(server, std::move(what));
+  const auto found = servers_.find(server);
+  if (found == servers_.end() || withdraw_unsent(server, call)) return;
+  found->second.unread_releases.track(call);
+  send_release(found->second, call, cause::kNormal);
 }
 
 void Servers::release(const ServerId& server, CallId call, int cause) {
-  QueuedMessage what{false, {}, cause, false};
-  what.offer.call = call;
-  send_release(server, std::move(what));
-}
-
-void Servers::send_release(const ServerId& server, QueuedMessage what) {
-  const CallId call = what.offer.call;
   const auto found = servers_.find(server);
   if (found == servers_.end() || withdraw_unsent(server, call)) return;
-  ServerState& to = found->second;
+  send_release(found->second, call, cause);
+}
+
+void Servers::send_release(ServerState& to, CallId call, int cause) {
   Connection* connection = nullptr;
   for (Connection& each : to.connections) {
     const auto out = each.in_flight.find(call);
@@ -329,6 +319,8 @@
     each.in_flight.erase(out);
   }
   if (!connection || !connection->up()) connection = best_connection(to);
+  QueuedMessage what{false, {}, cause};
+  what.offer.call = call;
   if (connection) return write(to, *connection, what);
   // An established call outlives its connection, so its release is queued until another one is up.
   if (to.queued.size() < kMaxQueued) to.queued.push_back(std::move(what));
@@ -357,7 +349,7 @@
          loop_.now() - connection.recent_releases.front().first > kReleaseRepeatWindow)
     connection.recent_releases.pop_front();
   connection.recent_releases.emplace_back(loop_.now(), what);
-  if (what.attempt_may_follow) state.unread_releases.written(what.offer.call, connection.id, position);
+  state.unread_releases.written(what.offer.call, connection.id, position);
   connection.stream->send(end_segment(what.offer.call, what.cause));
 }
 
@@ -490,13 +482,12 @@
 void Servers::on_disconnected(Stream& stream, DisconnectReason how) {
   const ConnectionRef at = find_connection(stream);
   if (!at.state) return;
-  if (at.connection->retired_at) return on_retired_ended(*at.state, stream);
+  if (at.connection->retired_at) return on_retired_ended(*at.state, *at.connection);
   const ServerId server = at.state->server;
   loop_.keep_until_pass_end(
       std::exchange(at.connection->stream, nullptr));  // `stream` lives until the end of the pass
   if (stream.was_connected()) {
-    at.state->ends.connection_ended(at.connection->id, loop_.now());
-    at.state->unread_releases.connection_ended(at.connection->id, loop_.now());
+    note_ended(*at.state, *at.connection);
     log_.line("server %s: connection %s, %zu set-ups out", server_text(server).c_str(),
               how == DisconnectReason::reset ? "reset" : "closed", at.connection->in_flight.size());
     at.state->connection_lost = true;
@@ -529,19 +520,21 @@
 // The server has ended a connection that this process had stopped using, and sends nothing on it any more.
 // What it sent there shortly before may have been lost on the way, and is repeated on a connection opened
 // now.
-void Servers::on_retired_ended(ServerState& state, Stream& stream) {
-  const auto ended = std::find_if(state.retired.begin(), state.retired.end(),
-                                  [&](const Connection& each) { return each.stream.get() == &stream; });
+void Servers::on_retired_ended(ServerState& state, Connection& retired) {
   log_.line("server %s: it has ended the connection that was closed here %lld ms ago",
             server_text(state.server).c_str(),
-            static_cast<long long>((loop_.now() - *ended->retired_at) / milliseconds(1)));
-  state.ends.connection_ended(ended->id, loop_.now());
-  state.unread_releases.connection_ended(ended->id, loop_.now());
-  loop_.keep_until_pass_end(std::move(ended->stream));
-  state.retired.erase(ended);
+            static_cast<long long>((loop_.now() - *retired.retired_at) / milliseconds(1)));
+  note_ended(state, retired);
+  loop_.keep_until_pass_end(std::move(retired.stream));
+  state.retired.remove_if([&](const Connection& each) { return &each == &retired; });
   connect(state);
 }
 
+void Servers::note_ended(ServerState& state, const Connection& connection) {
+  state.ends.connection_ended(connection.id, loop_.now());
+  state.unread_releases.connection_ended(connection.id, loop_.now());
+}
+
 void Servers::lose_messages(ServerState& state, Connection& connection, const std::deque<Segment>& unsent) {
   const ServerId server = state.server;
   const auto in_flight = std::exchange(connection.in_flight, {});
@@ -609,7 +602,7 @@
 void Servers::check_liveness(ServerState& state) {
   if (loop_.now() - state.last_liveness_test < kLivenessTestInterval) return;
   if (state.connect_timed_out) {
-    const std::vector<CallId> cut = state.ends.calls_unheard_for(kUnreachableAfter, loop_.now());
+    const std::vector<CallId> cut = state.ends.calls_unheard_for(kEndUnheardTimeout, loop_.now());
     if (!cut.empty()) owner_.on_calls_unreachable(state.server, cut);
   }
   if (!liveness_test_is_due(state)) return;
--- a/src/net/servers.hpp
+++ b/src/net/servers.hpp
@@ -116,12 +116,11 @@
   static constexpr std::size_t kConnectionsPerServer = 4;  // a server reports its load on at most this many
   static constexpr std::size_t kMaxRetiredPerServer = 4;   // beyond this the oldest is closed
 
-  // An offer, or the release of a call (then only offer.call, cause and attempt_may_follow are set).
+  // An offer, or the release of a call (then only offer.call and cause are set).
   struct QueuedMessage {
     bool is_offer = false;
     Offer offer{};
     int cause = 0;
-    bool attempt_may_follow = false;
   };
   // A set-up in flight: handed to a connection and not answered, refused or abandoned.
   struct SetUp {
@@ -182,10 +181,11 @@
   ServerState& state_of(const ServerId& server);
   ConnectionRef find_connection(const Stream& stream);
   Connection* best_connection(ServerState& state);
+  static Connection* find_up(ServerState& state, ConnectionId id);
   Connection* connection_for_offer(ServerState& state, CallId call);
   bool is_safe_to_offer(ServerState& state, CallId call);
   void report_possible_offers();
-  void send_release(const ServerId& server, QueuedMessage what);
+  void send_release(ServerState& state, CallId call, int cause);
   bool is_suspect(const Connection& connection) const;
   void finish_set_up(const ServerId& server, CallId call);
   void connect(ServerState& state);
@@ -198,7 +198,9 @@
   void stop_reading(Stream& stream, const char* why);
   void retire(Stream& stream, const char* why);
   void close_oldest_retired(ServerState& state);
-  void on_retired_ended(ServerState& state, Stream& stream);
+  void on_retired_ended(ServerState& state, Connection& retired);
+  // Both sides know that the connection is gone.
+  void note_ended(ServerState& state, const Connection& connection);
   // The set-ups in flight on a connection that is not used any more are lost; its recent releases are
   // repeated.
   void lose_messages(ServerState& state, Connection& connection, const std::deque<Segment>& unsent);
--- a/tests/unread_releases_test.cpp
+++ b/tests/unread_releases_test.cpp
@@ -17,6 +17,7 @@
 
 TEST(UnreadReleases, AnAnswerShowsThatOnlyWhatWasWrittenBeforeItWasRead) {
   UnreadReleases releases;
+  releases.track(kCall);
   releases.written(kCall, kOne, 5);
   releases.read_up_to(kOther, 9);
   releases.read_up_to(kOne, 4);
@@ -28,6 +29,7 @@
 // A release that was said once more elsewhere is read there, and still on its way on the first connection.
 TEST(UnreadReleases, AConfirmationOnOneConnectionTellsNothingOfAnother) {
   UnreadReleases releases;
+  releases.track(kCall);
   releases.written(kCall, kOne, 1);
   releases.written(kCall, kOther, 1);
   releases.confirmed(kCall, kOther);
@@ -36,11 +38,22 @@
 
 TEST(UnreadReleases, TheServersEndOfAConnectionCountsAfterAMoment) {
   UnreadReleases releases;
+  releases.track(kCall);
   releases.written(kCall, kOne, 1);
   releases.connection_ended(kOne, kNow);
   EXPECT_EQ(releases.on_their_way(kCall, kNow + kReadAfterEnd - milliseconds(1)), Connections{kOne});
   EXPECT_EQ(releases.on_their_way(kCall, kNow + kReadAfterEnd), Connections{});
 }
 
+// Guards against: an entry that is never dropped, since a release that waited for a connection is written
+// only when its call has ended.
+TEST(UnreadReleases, AReleaseWrittenAfterItsCallWasForgottenIsNotTracked) {
+  UnreadReleases releases;
+  releases.track(kCall);
+  releases.forget(kCall);
+  releases.written(kCall, kOne, 1);
+  EXPECT_FALSE(releases.tracks(kCall));
+}
+
 }  // namespace
 }  // namespace quartzarch
