--- a/tests/attempt_identity_test.cpp
+++ b/tests/attempt_identity_test.cpp
@@ -246,24 +246,18 @@
     gateway = connect_caller();
     gateway.send(setup(0xaa, "d"));
     wait_to_receive(silent, "offer");
-    pass_time(milliseconds(60));
+    pass_time(milliseconds(60), kStep);
     gateway.send(setup(0xbb, "d"));
     wait_until([&] { return static_cast<bool>(server = listener.accept()); }, "the second connection");
     if (count(silent.received(), "offer") < 2) wait_to_receive(server, "offer");
-    silent.send(kReport);
+    silent.send(load_report);
     run_passes(3);
     (count(silent.received(), "offer") < 2 ? server : silent)
         .send(line("accept", "00000000000000bb", "\"desc\":\"s\""));
     wait_to_receive(gateway, binary(9, 0xbb, {{210, "s"}}));
     silent.send("{\"op\":");
     while (count(silent.received(), kRelease) == 0 && clock_offset < std::chrono::seconds(3600))
-      pass_time(milliseconds(10));
-  }
-  void pass_time(Duration time) {
-    for (const Duration until = clock_offset + time; clock_offset < until;) {
-      clock_offset += milliseconds(5);
-      run_passes(3);
-    }
+      pass_time(milliseconds(10), kStep);
   }
   // Set-ups of the call that have arrived at the first server on other connections than the silent one.
   std::size_t offered_beside_the_release() {
@@ -273,7 +267,7 @@
     return found;
   }
 
-  const std::string kReport = "{\"op\":\"group\",\"call\":\"\",\"with\":{\"load\":\"queue:0\"}}\n";
+  static constexpr Duration kStep = milliseconds(5);
   const std::string kRelease = line("end", kId, "\"why\":16");
   const std::string kOffer = "\"offer\",\"call\":\"" + kId;
   const FrozenClock held;
@@ -286,10 +280,10 @@
 TEST_F(UnreadRelease, KeepsTheCallFromItsServerUntilTheServerHasReadIt) {
   give_up_an_attempt({host(listener, 0)});
   ASSERT_EQ(count(silent.received(), kRelease), 1u) << "the attempt was not given up";
-  pass_time(milliseconds(600));
+  pass_time(milliseconds(600), kStep);
   EXPECT_EQ(offered_beside_the_release(), 0u);
   silent.close();  // the server has read all that was sent to it and ends the connection too
-  wait_until([&] { return pass_time(milliseconds(10)), offered_beside_the_release() == 1; },
+  wait_until([&] { return pass_time(milliseconds(10), kStep), offered_beside_the_release() == 1; },
              "the next attempt");
 }
 
@@ -299,7 +293,7 @@
   give_up_an_attempt({host(listener, 0), host(elsewhere, 1)});
   ASSERT_EQ(count(silent.received(), kRelease), 1u) << "the attempt was not given up";
   Peer other = elsewhere.accept_next();
-  wait_until([&] { return pass_time(milliseconds(10)), count(other.received(), kOffer) == 1; },
+  wait_until([&] { return pass_time(milliseconds(10), kStep), count(other.received(), kOffer) == 1; },
              "an attempt at the other server");
   EXPECT_EQ(offered_beside_the_release(), 0u);
 }
--- a/tests/endings_test.cpp
+++ b/tests/endings_test.cpp
@@ -396,7 +396,7 @@
   wait_to_receive(gateway, answered(0xaa));
   Peer fresh;
   for (int half_seconds = 0; half_seconds < 16 && !fresh; ++half_seconds) {
-    other.send("{\"op\":\"group\",\"call\":\"\",\"with\":{\"load\":\"queue:0\"}}\n");
+    other.send(load_report);
     clock_offset += milliseconds(500);
     run_passes(5);
     fresh = listener.accept();
@@ -419,7 +419,7 @@
   wait_to_receive(gateway, answered(0xaa));
   const FullBacklog full(listener.address());
   for (int half_seconds = 0; half_seconds < 16; ++half_seconds) {
-    other.send("{\"op\":\"group\",\"call\":\"\",\"with\":{\"load\":\"queue:0\"}}\n");
+    other.send(load_report);
     clock_offset += milliseconds(500);
     run_passes(5);
   }
@@ -436,10 +436,10 @@
     establish_call(gateway);
     server.send("{\"op\":\"group\",");
     run_passes(3);
-    pass_time(milliseconds(400));
+    pass_with_reports(milliseconds(400));
     run_passes(3);
     wait_until([&] { return accept_one(); }, "the connection in its place");
-    pass_time(milliseconds(300));
+    pass_with_reports(milliseconds(300));
     while (accept_one()) run_passes(3);
   }
   bool accept_one() {
@@ -448,13 +448,10 @@
     others.push_back(std::move(next));
     return true;
   }
-  void pass_time(Duration time) {
-    for (const Duration until = clock_offset + time; clock_offset < until;) {
-      clock_offset += milliseconds(100);
-      for (const Peer& other : others)
-        other.send("{\"op\":\"group\",\"call\":\"\",\"with\":{\"load\":\"queue:0\"}}\n");
-      run_passes(3);
-    }
+  void pass_with_reports(Duration time) {
+    pass_time(time, milliseconds(100), [this] {
+      for (const Peer& other : others) other.send(load_report);
+    });
   }
   const std::string ended = binary(12, 0xaa, {{208, "\x10"}});
   const FrozenClock held;
@@ -467,7 +464,7 @@
 TEST_F(SilentConnection, AnEndThatTheServerCanRepeatOnlyOnANewConnectionIsTold) {
   Peer fresh;
   for (int tenths = 0; tenths < 20 && !fresh; ++tenths) {
-    pass_time(milliseconds(100));
+    pass_with_reports(milliseconds(100));
     fresh = listener.accept();
   }
   ASSERT_TRUE(static_cast<bool>(fresh)) << "no connection was opened within 2 s";
--- a/tests/link_test.cpp
+++ b/tests/link_test.cpp
@@ -121,12 +121,9 @@
     wait_to_receive(gateway, binary(9, 0xaa, {{210, "s"}}));
     gateway.take_received();
   }
-  void pass_time(Duration time, bool with_heartbeats) {
-    for (const Duration until = clock_offset + time; clock_offset < until;) {
-      clock_offset += milliseconds(50);
-      if (with_heartbeats) say(link::MessageType::readiness, 0, {"1"});
-      run_passes(3);
-    }
+  void pass_in_silence(Duration time) { pass_time(time, milliseconds(50)); }
+  void pass_with_heartbeats(Duration time) {
+    pass_time(time, milliseconds(50), [this] { say(link::MessageType::readiness, 0, {"1"}); });
   }
 
   const FrozenClock held;
@@ -138,7 +135,7 @@
 // an answer or the end of the link gave them one.
 TEST_F(ForwarderAndScriptedPlanner, CallsAtASilentPlannerFailAndNewOnesAreRefusedAtOnce) {
   request(0xaa, "5000");
-  pass_time(milliseconds(1700), false);
+  pass_in_silence(milliseconds(1700));
   EXPECT_EQ(gateway.take_received(), binary(12, 0xaa, {{208, std::string(1, 41)}}));
   EXPECT_FALSE(planners->ready());
   gateway.send(setup(0xbb, "d"));
@@ -148,12 +145,12 @@
 // Guards against: a planner that lives and never answers leaves a call without its final answer.
 TEST_F(ForwarderAndScriptedPlanner, AnUnansweredCallFailsAtItsDeadlineWhateverItsPlannerDoes) {
   request(0xaa, "2000");
-  pass_time(milliseconds(1950), true);
+  pass_with_heartbeats(milliseconds(1950));
   EXPECT_EQ(gateway.received(), "");
-  pass_time(milliseconds(100), true);
+  pass_with_heartbeats(milliseconds(100));
   EXPECT_EQ(gateway.received(), binary(12, 0xaa, {{208, std::string(1, 18)}}));
   say(link::MessageType::answer, 0xaa, {}, "s");
-  pass_time(milliseconds(100), true);
+  pass_with_heartbeats(milliseconds(100));
   EXPECT_EQ(count(gateway.received(), binary(12, 0xaa).substr(2)), 1u) << "one final answer";
   EXPECT_EQ(count(gateway.received(), binary(9, 0xaa).substr(2)), 0u);
 }
@@ -161,7 +158,7 @@
 // Guards against: the end of a call is sent on a link that was silent and is not read any more.
 TEST_F(ForwarderAndScriptedPlanner, AnEndOnASilentLinkIsToldWhenItsSilenceIsOver) {
   establish();
-  pass_time(milliseconds(1700), false);
+  pass_in_silence(milliseconds(1700));
   ASSERT_FALSE(planners->ready());
   say(link::MessageType::call_ended, 0xaa, {"16"});
   wait_to_receive(gateway, binary(12, 0xaa, {{208, "\x10"}}));
@@ -170,9 +167,9 @@
 // Guards against: a call ends while its planner cannot be reached, and its caller is not told within 8 s.
 TEST_F(ForwarderAndScriptedPlanner, CallsOfAPlannerThatStaysSilentAreToldOverInTime) {
   establish();
-  pass_time(milliseconds(6500), false);
+  pass_in_silence(milliseconds(6500));
   EXPECT_EQ(gateway.received(), "");
-  pass_time(milliseconds(500), false);
+  pass_in_silence(milliseconds(500));
   EXPECT_EQ(gateway.received(), binary(12, 0xaa, {{208, std::string(1, 41)}}));
 }
 
--- a/tests/loopback.hpp
+++ b/tests/loopback.hpp
@@ -191,6 +191,14 @@
   void run_passes(int passes = 30) {
     for (int i = 0; i < passes; ++i) loop.pass(milliseconds(1));
   }
+  // Moves the clock on in steps, with `at_each_step`, if given, and some passes of the loop after each.
+  void pass_time(Duration time, Duration step, const std::function<void()>& at_each_step = {}) {
+    for (const Duration until = clock_offset + time; clock_offset < until;) {
+      clock_offset += step;
+      if (at_each_step) at_each_step();
+      run_passes(3);
+    }
+  }
   static Host host(const Listener& at, int number, Availability state = Availability::ready) {
     Host host;
     host.name = "s-" + std::to_string(number);
@@ -236,6 +244,9 @@
     return "{\"op\":\"" + op + "\",\"call\":\"" + call + "\",\"with\":{}," + rest + "}\n";
   }
 
+  // A server's report of its load, unasked.
+  const std::string load_report = "{\"op\":\"group\",\"call\":\"\",\"with\":{\"load\":\"queue:0\"}}\n";
+
   std::FILE* null_stream = std::fopen("/dev/null", "w");
   Logger log{null_stream};
   Loop loop{test_clock};
