--- a/src/duty/lease_manager.cpp
+++ b/src/duty/lease_manager.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "register/commands.hpp"
+
 namespace quartzarch::duty {
 namespace {
 
@@ -77,9 +79,7 @@
     });
     if (done) {
       closing_ = true;
-      reg::Command close;
-      close.op = reg::Op::close;
-      out.push_back(request(now, std::move(close), {}));
+      out.push_back(request(now, reg::close_session(), {}));
     }
   }
   return out;
@@ -98,20 +98,14 @@
   if (session_ == 0) {
     if (leaving_ || opening_ || now < open_at_) return;
     opening_ = true;
-    reg::Command open;
-    open.op = reg::Op::open;
-    open.name = settings_.name;
-    open.number = settings_.incarnation;
-    open.ttl_ms = static_cast<std::uint32_t>(settings_.ttl / milliseconds(1));
-    out.push_back(request(now, std::move(open), {}));
+    const auto time_to_live = std::chrono::duration_cast<milliseconds>(settings_.ttl);
+    out.push_back(request(now, reg::open_session(settings_.name, settings_.incarnation, time_to_live), {}));
     return;
   }
   if (now >= renew_at_) {
     // Sent without waiting for the previous reply, so that a later renewal can replace one that was lost.
     renew_at_ = now + settings_.ttl / kRenewalsPerLease;
-    reg::Command renew;
-    renew.op = reg::Op::renew;
-    out.push_back(request(now, std::move(renew), {}));
+    out.push_back(request(now, reg::renew_session(), {}));
   }
   if (sequenced_retry_ && !sequenced_in_flight_ && now >= sequenced_retry_at_) {
     sequenced_in_flight_ = true;
@@ -158,16 +152,9 @@
     duty.release_due = false;
     duty.request_pending = true;
     sequenced_in_flight_ = true;
-    reg::Command release;
-    release.op = reg::Op::release;
-    release.sequence = ++sequence_;
-    release.name = duty.settings.name;
-    release.number = duty.token;
-    if (duty.reason == EndReason::handed_over) release.value = successor_;
-    if (duty.reason == EndReason::moved) release.value = duty.known_state.requested_holder;
     sequenced_duty_ = duty.settings.name;
-    out.push_back(request(now, release, duty.settings.name, duty.token));
-    sequenced_retry_ = std::move(release);
+    sequenced_retry_ = reg::release_duty(duty.settings.name, duty.token, ++sequence_, successor_for(duty));
+    out.push_back(request(now, *sequenced_retry_, duty.settings.name, duty.token));
     return;
   }
   if (duty.stage != Stage::standby || leaving_ || duty.request_pending || duty.work_running) return;
@@ -177,13 +164,15 @@
   duty.stage = Stage::acquiring;
   duty.request_pending = true;
   sequenced_in_flight_ = true;
-  reg::Command acquire;
-  acquire.op = reg::Op::acquire;
-  acquire.sequence = ++sequence_;
-  acquire.name = duty.settings.name;
   sequenced_duty_ = duty.settings.name;
-  out.push_back(request(now, acquire, duty.settings.name));
-  sequenced_retry_ = std::move(acquire);
+  sequenced_retry_ = reg::acquire_duty(duty.settings.name, ++sequence_);
+  out.push_back(request(now, *sequenced_retry_, duty.settings.name));
+}
+
+std::string LeaseManager::successor_for(const Duty& duty) const {
+  if (duty.reason == EndReason::handed_over) return successor_;
+  if (duty.reason == EndReason::moved) return duty.known_state.requested_holder;
+  return {};
 }
 
 bool LeaseManager::may_acquire(const Duty& duty) const {
--- a/src/duty/lease_manager.hpp
+++ b/src/duty/lease_manager.hpp
@@ -145,6 +145,8 @@
   void apply_back_off(Time now, Duty& duty);
   void schedule_acquire(Time now, Duty& duty);
   bool may_acquire(const Duty& duty) const;
+  // The controller that a duty being released is handed over to; empty: none.
+  std::string successor_for(const Duty& duty) const;
   std::size_t held() const;  // number of duties held or being acquired
   Time work_deadline() const { return valid_until_ - settings_.ending; }
 
