Register: the other places that filled commands by hand call the same functions

Change: expiry, client protocol, command line, certificate store, gap list, the simulation, the recorder of histories, a test and a bench call register/commands.hpp. `duty move` no longer sends the pause's number with it (the register never read it there). What is decoded from the wire is still filled field by field.

--- a/bench/duty.cpp
+++ b/bench/duty.cpp
@@ -22,6 +22,7 @@
 #include "faults/relay.hpp"
 #include "net/stream.hpp"
 #include "register/client.hpp"
+#include "register/commands.hpp"
 #include "register/voter_server.hpp"
 #include "setup_server/setup_server.hpp"
 
@@ -121,10 +122,7 @@
   bool connected = false;
   Time start = loop.now();
   const auto put = [&](auto&& self) -> void {
-    reg::Command command;
-    command.op = reg::Op::put;
-    command.name = "key" + std::to_string(sent % 64);
-    command.value = std::string(100, 'x');
+    reg::Command command = reg::put_value("key" + std::to_string(sent % 64), std::string(100, 'x'));
     ++sent;
     ++in_flight;
     client.ask(std::move(command),
--- a/src/cli/certs.cpp
+++ b/src/cli/certs.cpp
@@ -9,6 +9,7 @@
 #include "certificates.hpp"
 #include "config.hpp"
 #include "fleet/certificate_store.hpp"
+#include "register/commands.hpp"
 
 namespace quartzarch::cli {
 namespace {
@@ -42,11 +43,7 @@
                       std::vector<std::string>{fleet::kCertificatesDuty});
       shared = fleet::open_fleet_store(settings, log, *member_, fleet::read_seal(fleet), fleet.start_wait,
                                        [] { return false; });
-      reg::Command move;
-      move.op = reg::Op::move;
-      move.name = fleet::kCertificatesDuty;
-      move.value = name;
-      if (!member_->ask_and_wait(move, kDutyTimeout))
+      if (!member_->ask_and_wait(reg::move_duty(fleet::kCertificatesDuty, name), kDutyTimeout))
         throw std::runtime_error("the fleet's register did not answer the request for the certificates duty");
     } else {
       shared = acme::open_state_on_disk(settings, log);
--- a/src/cli/fleet.cpp
+++ b/src/cli/fleet.cpp
@@ -11,6 +11,7 @@
 #include "fleet/membership.hpp"
 #include "json_text.hpp"
 #include "net/signals.hpp"
+#include "register/commands.hpp"
 #include "register/voter_server.hpp"
 
 namespace quartzarch::cli {
@@ -94,15 +95,13 @@
 // voter answered as the leader.
 bool for_each_item(const fleet::FleetSettings& settings, std::string_view prefix,
                    const std::function<void(const reg::Item&)>& visit) {
-  reg::Command command;
-  command.op = reg::Op::list;
-  command.name = prefix;
+  std::string after;
   for (bool more = true; more;) {
-    const auto reply = execute(settings, command);
+    const auto reply = execute(settings, reg::list_values(std::string(prefix), after));
     if (!reply) return false;
     for (const reg::Item& item : reply->items) visit(item);
     more = reply->more;
-    if (more) command.value = reply->items.back().key;
+    if (more) after = reply->items.back().key;
   }
   return true;
 }
@@ -310,13 +309,13 @@
   return show_->parsed() && shown == 0 ? 1 : 0;
 }
 
+reg::Command FleetCommands::duty_command() const {
+  if (move_->parsed()) return reg::move_duty(duty_name_, to_);
+  return pause_->parsed() ? reg::pause_duty(duty_name_) : reg::resume_duty(duty_name_);
+}
+
 int FleetCommands::change_duty(Logger&, const fleet::FleetSettings& settings) {
-  reg::Command command;
-  command.name = duty_name_;
-  command.op = move_->parsed() ? reg::Op::move : reg::Op::pause;
-  command.value = to_;
-  command.number = pause_->parsed() ? 1 : 0;
-  const auto reply = execute(settings, command);
+  const auto reply = execute(settings, duty_command());
   if (!reply) return report_no_leader();
   if (reply->code == reg::Code::ok) return 0;
   std::fprintf(
--- a/src/cli/fleet.hpp
+++ b/src/cli/fleet.hpp
@@ -36,6 +36,8 @@
   int list(Logger& log, const fleet::FleetSettings& settings);
   // `duty move`, `duty pause` and `duty resume`.
   int change_duty(Logger& log, const fleet::FleetSettings& settings);
+  // The register command of whichever of the three was parsed.
+  reg::Command duty_command() const;
 
   CLI::App *fleet_, *duty_;
   CLI::App *init_, *status_, *sessions_, *remove_, *lead_, *hold_, *list_, *show_, *move_, *pause_, *resume_;
--- a/src/fleet/certificate_store.cpp
+++ b/src/fleet/certificate_store.cpp
@@ -4,6 +4,7 @@
 #include <thread>
 
 #include "config.hpp"
+#include "register/commands.hpp"
 
 namespace quartzarch::fleet {
 namespace {
@@ -147,14 +148,12 @@
 bool CertificateStore::reload(duty::Token token) {
   token_ = token;
   consistent_ = false;
-  reg::Command command;
-  command.op = reg::Op::list;
-  command.name = std::string(kPrefix);
+  std::string after;
   WatchUpdate all;
   all.complete = true;
   for (bool more = true; more;) {
-    const auto reply =
-        fleet_.ask_and_wait(command, kRequestTimeout, [&] { return stopped_() || !duty_handle_.holds(); });
+    const auto reply = fleet_.ask_and_wait(reg::list_values(std::string(kPrefix), after), kRequestTimeout,
+                                           [&] { return stopped_() || !duty_handle_.holds(); });
     if (!reply || reply->code != reg::Code::ok) return false;
     for (const reg::Item& item : reply->items) {
       if (!seal_.decrypt(item.key, item.value)) {
@@ -165,7 +164,7 @@
     }
     all.at = reply->revision;
     more = reply->more;
-    if (more) command.value = reply->items.back().key;
+    if (more) after = reply->items.back().key;
   }
   known_.clear();  // the list includes what others did under their tokens
   apply_update(all);
@@ -232,11 +231,8 @@
 }
 
 void CertificateStore::put(const std::string& name, std::string_view text) {
-  reg::Command command;
-  command.op = reg::Op::put;
-  command.name = key_of(name);
-  command.value = seal_.encrypt(command.name, text);
-  change(std::move(command));
+  const std::string key = key_of(name);
+  change(reg::put_value(key, seal_.encrypt(key, text)));
 }
 
 void CertificateStore::write(const std::string& name, std::string_view text) {
@@ -250,10 +246,7 @@
 }
 
 void CertificateStore::remove(const std::string& name) {
-  reg::Command command;
-  command.op = reg::Op::erase;
-  command.name = key_of(name);
-  change(std::move(command));
+  change(reg::erase_value(key_of(name)));
   copy_.remove(name);
 }
 
--- a/src/fleet/gap_list.cpp
+++ b/src/fleet/gap_list.cpp
@@ -1,5 +1,7 @@
 #include "fleet/gap_list.hpp"
 
+#include "register/commands.hpp"
+
 namespace quartzarch::fleet {
 namespace {
 
@@ -90,10 +92,9 @@
 }
 
 void GapList::write(const gap::ListReplica::Write& write, std::optional<reg::Fence> fence) {
-  reg::Command command;
-  command.op = write.entry ? reg::Op::put : reg::Op::erase;
-  command.name = std::string(kPrefix) + write.id;
-  if (write.entry) command.value = gap::entry_text(*write.entry);
+  const std::string key = std::string(kPrefix) + write.id;
+  reg::Command command =
+      write.entry ? reg::put_value(key, gap::entry_text(*write.entry)) : reg::erase_value(key);
   command.expected = write.expected;
   command.fence = std::move(fence);
   fleet_.ask(std::move(command),
--- a/src/register/client_protocol.cpp
+++ b/src/register/client_protocol.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <charconv>
 
+#include "register/commands.hpp"
 #include "register/node.hpp"
 
 namespace quartzarch::reg {
@@ -53,11 +54,7 @@
 // first part and reports the changes since.
 void ClientProtocol::list(Time now, const std::string& prefix, Watch& watch) {
   watch.step = Step::listing;
-  Command command;
-  command.op = Op::list;
-  command.name = prefix;
-  command.value = watch.after;
-  ask(now, std::move(command), [this, now, prefix](const std::optional<Reply>& reply) {
+  ask(now, list_values(prefix, watch.after), [this, now, prefix](const std::optional<Reply>& reply) {
     Watch& listed = watches_.at(prefix);
     if (!reply || reply->code != Code::ok) {
       listed.step = Step::list;
--- a/src/register/expiry.cpp
+++ b/src/register/expiry.cpp
@@ -1,3 +1,4 @@
+#include "register/commands.hpp"
 #include "register/node.hpp"
 
 namespace quartzarch::reg {
@@ -30,11 +31,7 @@
   std::erase_if(sessions_, [&](const auto& item) { return state.sessions().count(item.first) == 0; });
   for (const auto& [id, session] : state.sessions()) {
     if (!elapsed(sessions_[id], now, session.renewals, std::chrono::milliseconds(session.ttl_ms))) continue;
-    Command command;
-    command.op = Op::expire;
-    command.session = id;
-    command.number = session.renewals;
-    commands.push_back(std::move(command));
+    commands.push_back(expire_session(id, session.renewals));
   }
   std::erase_if(reserved_, [&](const auto& item) {
     const auto duty = state.duties().find(item.first);
@@ -43,11 +40,7 @@
   for (const auto& [name, duty] : state.duties()) {
     if (duty.reserved.empty()) continue;
     if (!elapsed(reserved_[name], now, duty.token, kReservationTimeout)) continue;
-    Command command;
-    command.op = Op::expire_reservation;
-    command.name = name;
-    command.number = duty.token;
-    commands.push_back(std::move(command));
+    commands.push_back(expire_reservation(name, duty.token));
   }
   return commands;
 }
--- a/standin/faults/fleet_simulation.cpp
+++ b/standin/faults/fleet_simulation.cpp
@@ -9,6 +9,7 @@
 #include "faults/history.hpp"
 #include "faults/memory_disk.hpp"
 #include "register/client_protocol.hpp"
+#include "register/commands.hpp"
 #include "register/service.hpp"
 
 namespace quartzarch::faults {
@@ -423,11 +424,8 @@
     controller.incrementing = true;
     const unsigned incarnation = controller.incarnation;
     const reg::Revision known_before = newest_known_revision_;
-    reg::Command read;
-    read.op = reg::Op::read;
-    read.name = "count";
     controller.client->ask(
-        controller.clock.at(now_), read,
+        controller.clock.at(now_), reg::read_value("count"),
         [this, &controller, incarnation, known_before](const std::optional<reg::Reply>& reply) {
           if (controller.incarnation != incarnation) return;
           controller.incrementing = false;
@@ -435,11 +433,9 @@
           if (reply->revision < known_before)
             report_violation("a read returned an older revision than one known before it began");
           newest_known_revision_ = std::max(newest_known_revision_, reply->revision);
-          reg::Command put;
-          put.op = reg::Op::put;
-          put.name = "count";
+          const auto count = reply->items.empty() ? 0 : std::stoull(reply->items.front().value);
+          reg::Command put = reg::put_value("count", std::to_string(count + 1));
           put.expected = reply->items.empty() ? 0 : reply->items.front().revision;
-          put.value = std::to_string(reply->items.empty() ? 1 : std::stoull(reply->items.front().value) + 1);
           controller.incrementing = true;
           ++unanswered_increments_;
           controller.client->ask(controller.clock.at(now_), put,
@@ -714,27 +710,26 @@
   void issue_operator_command() {
     for (auto& voter : voters_) {
       if (!voter->node || !voter->node->leads()) continue;
-      reg::Command command;
-      command.op = chance(0.5) ? reg::Op::pause : reg::Op::move;
-      command.name = duty_name(static_cast<unsigned>(random_below(static_cast<int>(settings_.duties))));
-      command.number = 1;
-      if (command.op == reg::Op::move)
-        command.value = "c" + std::to_string(random_below(static_cast<int>(settings_.controllers)));
+      const bool pauses = chance(0.5);
+      const std::string name =
+          duty_name(static_cast<unsigned>(random_below(static_cast<int>(settings_.duties))));
+      const reg::Command command =
+          pauses ? reg::pause_duty(name) : reg::move_duty(name, random_controller_name());
       voter->node->propose(voter->clock.at(now_), {command}, {[](reg::Outcome, const reg::Reply&) {}});
-      if (command.op == reg::Op::pause)
-        schedule(now_ + milliseconds(random_below(3000)), [this, name = command.name] { resume_duty(name); });
+      if (pauses) schedule(now_ + milliseconds(random_below(3000)), [this, name] { resume_duty(name); });
       return;
     }
   }
 
+  std::string random_controller_name() {
+    return "c" + std::to_string(random_below(static_cast<int>(settings_.controllers)));
+  }
+
   // Retries until the command is committed, as the leader may change in the meantime.
   void resume_duty(const std::string& name) {
     for (auto& voter : voters_) {
       if (!voter->node || !voter->node->leads()) continue;
-      reg::Command command;
-      command.op = reg::Op::pause;
-      command.name = name;
-      voter->node->propose(voter->clock.at(now_), {command},
+      voter->node->propose(voter->clock.at(now_), {reg::resume_duty(name)},
                            {[this, name](reg::Outcome outcome, const reg::Reply&) {
                              if (outcome != reg::Outcome::done)
                                schedule(now_ + milliseconds(200), [this, name] { resume_duty(name); });
@@ -821,11 +816,8 @@
     std::uint64_t counter = 0;
     for (auto& voter : voters_) {
       if (!voter->node || !voter->node->leads()) continue;
-      reg::Command read;
-      read.op = reg::Op::read;
-      read.name = "count";
       reg::State copy = voter->node->state();
-      const reg::Reply reply = copy.apply(read);
+      const reg::Reply reply = copy.apply(reg::read_value("count"));
       if (!reply.items.empty()) counter = std::stoull(reply.items.front().value);
     }
     if (counter < result_.increments) {
--- a/standin/faults/history.cpp
+++ b/standin/faults/history.cpp
@@ -5,6 +5,8 @@
 #include <set>
 #include <unordered_set>
 
+#include "register/commands.hpp"
+
 namespace quartzarch::faults {
 namespace {
 
@@ -259,10 +261,9 @@
 }
 
 void Recorder::ask(const std::function<Time()>& now, Operation operation) {
-  reg::Command command;
-  command.op = operation.kind == OperationKind::read ? reg::Op::read : reg::Op::put;
-  command.name = operation.key;
-  command.value = operation.value;
+  reg::Command command = operation.kind == OperationKind::read
+                             ? reg::read_value(operation.key)
+                             : reg::put_value(operation.key, operation.value);
   if (operation.kind == OperationKind::swap) command.expected = known_.at(operation.key).revision;
   operation.client = client_;
   operation.invoked = now();
--- a/tests/duty_test.cpp
+++ b/tests/duty_test.cpp
@@ -10,6 +10,7 @@
 #include "faults/memory_disk.hpp"
 #include "fleet/settings.hpp"
 #include "fleet_process.hpp"
+#include "register/commands.hpp"
 #include "register/wire.hpp"
 
 #if !defined(__SANITIZE_ADDRESS__)
@@ -92,9 +93,7 @@
     reg::wire::Message message;
     message.type = 1;  // append entries
     message.fields = {term, previous, previous_term, 1};
-    reg::Command command;
-    command.op = reg::Op::put;
-    command.name = "k" + std::to_string(term);
+    const reg::Command command = reg::put_value("k" + std::to_string(term), {});
     for (std::size_t i = 0; i < entries; ++i) message.entries.push_back({term, 1, reg::encode(command)});
     sent.last.clear();
     node.receive(now += milliseconds(1), term == 2 ? 2 : 3, term == 2 ? "b" : "c",
