--- a/src/register/state.hpp
+++ b/src/register/state.hpp
@@ -60,7 +60,8 @@
   Token token = 0;
 };
 
-// What is proposed to the register; which members are used depends on `op`.
+// What is proposed to the register. Which members are used depends on `op`: register/commands.hpp has a
+// function for each operation.
 struct Command {
   Op op{};
   SessionId session = 0;
