Link: what a forwarder has answered gets no second final answer when a cut is over

Cause: Planners forgot a call with its final answer, and took the end of any unknown call for that of one set up before the start. Change: EndedCalls, the planner's memory of ended calls as a class of its own, is used at both levels. On the same path: the same id is not sent to another planner again, two planners that tell one end tell it once, and a release of an ended call is not passed on.

--- a/src/core/planner.cpp
+++ b/src/core/planner.cpp
@@ -7,8 +7,6 @@
 namespace quartzarch {
 namespace {
 
-// Ended calls are remembered up to this number; the oldest are forgotten first.
-constexpr std::size_t kMaxEndedCalls = 20000;
 constexpr Duration kRetryAfterWhenFull = std::chrono::seconds(1);
 
 // The called number as the controller's key: up to 16 hex digits by their value, anything else by its FNV-1a
@@ -143,7 +141,7 @@
   };
   // Callers use a new id for every set-up. Messages about an ended call may still arrive under its id, and a
   // faulty caller that reuses one id endlessly must not cause an attempt each time.
-  if (ended_calls_.count(call) > 0) return fail_now();
+  if (ended_calls_.contains(call)) return fail_now();
   const auto& names = start_.class_names;
   const auto name =
       request.call_class.empty() ? names.end() : std::find(names.begin(), names.end(), request.call_class);
@@ -263,8 +261,8 @@
   Exchange* const exchange = find(call);
   if (!exchange) {
     // The call may have been set up before this process started.
-    if (ended_calls_.count(call) == 0) servers_.release_everywhere(call, cause);
-    return remember_ended(call);
+    if (ended_calls_.remember(call)) servers_.release_everywhere(call, cause);
+    return;
   }
   if (!exchange->established()) return cancel(call);
   exchange->close();
@@ -288,7 +286,7 @@
 }
 
 void Planner::handle_unknown_call_message(const ServerId& server, const ServerLine& line) {
-  const bool has_ended = ended_calls_.count(line.call) > 0;
+  const bool has_ended = ended_calls_.contains(line.call);
   if (line.op == ServerOp::accept) {
     if (!has_ended) return ignore(server, line, "unknown call");
     // No caller will use the call.
@@ -299,7 +297,7 @@
   // The call may have been established before this process started: its caller must still be notified of its
   // end.
   const bool call_over = line.why == cause::kNormal || line.why == cause::kTemporary;
-  remember_ended(line.call);
+  ended_calls_.remember(line.call);
   if (!has_ended && call_over && unknown_call_front_) unknown_call_front_->call_ended(line.call, line.why);
 }
 
@@ -488,15 +486,7 @@
 void Planner::forget(CallId call) {
   if (calls_.erase(call) == 0) return;
   servers_.forget_attempts(call);
-  remember_ended(call);
-}
-
-void Planner::remember_ended(CallId call) {
-  if (!ended_calls_.insert(call).second) return;
-  ended_calls_order_.push_back(call);
-  if (ended_calls_order_.size() <= kMaxEndedCalls) return;
-  ended_calls_.erase(ended_calls_order_.front());
-  ended_calls_order_.pop_front();
+  ended_calls_.remember(call);
 }
 
 void Planner::attempt_ended(Exchange& exchange, Ending ending, Cause cause, const LoadReport& report) {
--- a/src/core/planner.hpp
+++ b/src/core/planner.hpp
@@ -6,12 +6,12 @@
 #include <functional>
 #include <map>
 #include <unordered_map>
-#include <unordered_set>
 #include <vector>
 
 #include "core/call_counters.hpp"
 #include "core/calls.hpp"
 #include "core/drain.hpp"
+#include "core/ended_calls.hpp"
 #include "core/exchange.hpp"
 #include "core/server_inventory.hpp"
 #include "log.hpp"
@@ -111,7 +111,6 @@
   // Logs and counts a server's message that matches no current attempt.
   void ignore(const ServerId& server, const ServerLine& line, const char* reason);
   void forget(CallId call);
-  void remember_ended(CallId call);
 
   void execute(const SendSetup& action);
   void execute(const CancelAttempt& action);
@@ -142,9 +141,8 @@
   std::deque<Event> events_;
   bool processing_events_ = false;
   std::vector<std::pair<CallId, unsigned>>
-      due_attempts_;                        // attempts to be sent at the end of this pass of the event loop
-  std::unordered_set<CallId> ended_calls_;  // recently ended calls, so that no end is reported twice
-  std::deque<CallId> ended_calls_order_;    // the same, oldest first, for eviction
+      due_attempts_;        // attempts to be sent at the end of this pass of the event loop
+  EndedCalls ended_calls_;  // so that no end is reported twice
   Front* unknown_call_front_ = nullptr;
   AdmissionFilter* admission_filter_ = nullptr;
   const Drain* drain_ = nullptr;
--- a/src/link/planners.cpp
+++ b/src/link/planners.cpp
@@ -93,6 +93,8 @@
 void Planners::request(Request request, Front& front) {
   const CallId call = request.call;
   if (calls_.count(call) > 0) return;  // repeated set-up of a known call
+  // Another planner than the one that had the call may be chosen now, and would set it up once more.
+  if (ended_calls_.contains(call)) return front.fail(call, Failure::error);
   if (const auto retry_after = drain_ ? drain_->refusal_retry_after(loop_.now()) : std::nullopt)
     return front.refuse(call, *retry_after);
   const auto planner = choose_planner(call);
@@ -128,6 +130,12 @@
   }
 }
 
+void Planners::end_call(CallId call) {
+  mark_answered(call);
+  calls_.erase(call);
+  ended_calls_.remember(call);
+}
+
 // Cancels the call at its planner, which may still work on it, and gives it its final answer.
 void Planners::fail_call(CallId call, Failure why) {
   Front& front = *calls_.at(call).front;
@@ -158,23 +166,23 @@
 void Planners::cancel(CallId call) {
   const auto found = calls_.find(call);
   if (found == calls_.end() || !found->second.unanswered) return;
-  mark_answered(call);
   if (Planner& planner = planners_[found->second.planner]; planner.stream && planner.stream->up()) {
     planner.stream->send(encode(MessageType::cancel, call));
   }
-  calls_.erase(found);
+  end_call(call);
 }
 
 void Planners::release(CallId call, int cause) {
   const auto found = calls_.find(call);
   if (found == calls_.end()) {
+    if (ended_calls_.contains(call)) return;
     // The call may have been set up by any of the planners before this process started.
     for (std::size_t i = 0; i < planners_.size(); ++i) release_at(i, call, cause);
     return;
   }
   if (found->second.unanswered) return cancel(call);
   const std::size_t planner = found->second.planner;
-  calls_.erase(found);
+  end_call(call);
   release_at(planner, call, cause);
 }
 
@@ -257,14 +265,21 @@
   }
 }
 
-// The call is established here or was set up before this process started.
+// The call is established here, whichever planner tells its end: a setup server repeats an end to the next
+// planner that connects. Or it was set up before this process started. The end of one that has had its final
+// answer here, or its end, is late.
 bool Planners::handle_call_ended(std::size_t at, const LinkMessage& message) {
-  const auto found = calls_.find(message.call);
-  const bool known = found != calls_.end() && found->second.planner == at;
-  if (known && found->second.unanswered) return false;
+  const CallId call = message.call;
+  const auto found = calls_.find(call);
+  const bool known = found != calls_.end();
+  if (known && found->second.unanswered) return found->second.planner != at;
+  if (ended_calls_.contains(call)) {
+    log_.call_line("call %016llx: its end ignored, it has ended here", static_cast<unsigned long long>(call));
+    return true;
+  }
   Front* const front = known ? found->second.front : unknown_call_front_;
-  if (known) calls_.erase(found);
-  if (front) front->call_ended(message.call, static_cast<int>(message.number(0)));
+  end_call(call);
+  if (front) front->call_ended(call, static_cast<int>(message.number(0)));
   return true;
 }
 
@@ -279,11 +294,12 @@
     front.answer(message.call, std::string(message.text(0)));
     return;
   }
-  calls_.erase(found);
   if (message.type == MessageType::fail) {
+    end_call(message.call);
     front.fail(message.call, message.number(0) != 0 ? Failure::timed_out : Failure::error);
     return;
   }
+  calls_.erase(found);
   const auto retry_after = message.number(0);
   front.refuse(message.call, retry_after < 0 ? std::nullopt : std::optional(Duration{retry_after}));
 }
@@ -317,8 +333,7 @@
     const auto found = calls_.find(call);
     if (found == calls_.end()) continue;
     Front& front = *found->second.front;
-    mark_answered(call);
-    calls_.erase(found);
+    end_call(call);
     // The planner may still run and its answer may have been lost with the link: this release ends the call
     // there.
     release_at(at, call, cause::kTemporary);
@@ -384,7 +399,7 @@
   log_.line("link: planner %zu silent, %zu calls cut", link.planner, calls.size());
   for (const CallId call : calls) {
     Front& front = *calls_.at(call).front;
-    calls_.erase(call);
+    end_call(call);
     release_at(link.planner, call, cause::kTemporary);
     front.call_ended(call, cause::kTemporary);
   }
--- a/src/link/planners.hpp
+++ b/src/link/planners.hpp
@@ -10,6 +10,7 @@
 
 #include "core/calls.hpp"
 #include "core/drain.hpp"
+#include "core/ended_calls.hpp"
 #include "link/message.hpp"
 #include "log.hpp"
 
@@ -27,8 +28,8 @@
   Planners(Loop& loop, Logger& log, const std::vector<sockaddr_in>& addresses, Duration longest_deadline);
   ~Planners() override;
 
-  // `front` is told of the end of calls that this process does not know, such as those set up before it
-  // started.
+  // `front` is told of the end of calls that were set up before this process started. Those that have ended
+  // here are not told again.
   void set_unknown_call_front(Front& front) { unknown_call_front_ = &front; }
   // Number of calls that have not got their final answer.
   std::size_t pending_answers() const { return pending_answers_; }
@@ -96,6 +97,8 @@
   void lose_link(std::size_t planner, const std::deque<Segment>& unsent);
   // The ends of these established calls cannot be received any more: tells their callers that they are over.
   void end_unreachable_calls(RetiredLink& link);
+  // Forgets a call, but that it has ended: the planners may still tell its end.
+  void end_call(CallId call);
   void fail_call(CallId call, Failure why);
   void arm_deadline_timer();
   void fail_overdue_calls();
@@ -110,6 +113,7 @@
   Logger& log_;
   std::vector<Planner> planners_;
   std::unordered_map<CallId, Call> calls_;
+  EndedCalls ended_calls_;
   Duration longest_deadline_;
   std::multimap<Time, CallId> deadlines_;  // of calls that were unanswered when they came
   std::optional<Loop::TimerId> deadline_timer_{};
--- a/tests/link_test.cpp
+++ b/tests/link_test.cpp
@@ -164,6 +164,48 @@
   wait_to_receive(gateway, binary(12, 0xaa, {{208, "\x10"}}));
 }
 
+// Guards against: a call that failed while its planner was cut off gets a second final answer when what the
+// planner had sent arrives, on the old link or on a new one.
+TEST_F(ForwarderAndScriptedPlanner, TheEndOfACallThatFailedHereIsNotToldAsASecondFinalAnswer) {
+  establish();
+  request(0xbb, "5000");
+  pass_in_silence(milliseconds(1700));
+  EXPECT_EQ(gateway.take_received(), binary(12, 0xbb, {{208, std::string(1, 41)}}));
+  say(link::MessageType::answer, 0xbb, {}, "s");
+  say(link::MessageType::call_ended, 0xbb, {"16"});
+  say(link::MessageType::call_ended, 0xaa, {"16"});
+  pass_in_silence(milliseconds(500));
+  EXPECT_EQ(gateway.take_received(), binary(12, 0xaa, {{208, "\x10"}}));
+  link = listener.accept_next();
+  say(link::MessageType::call_ended, 0xbb, {"16"});
+  say(link::MessageType::call_ended, 0xcc, {"16"});  // of a call from before the start
+  pass_in_silence(milliseconds(500));
+  EXPECT_EQ(gateway.received(), binary(12, 0xcc, {{208, "\x10"}}));
+}
+
+// Guards against: an id runs twice that comes again after its caller has left or its planner has failed it.
+TEST_F(ForwarderAndScriptedPlanner, AnIdThatHasEndedHereIsNotSentToAPlannerAgain) {
+  request(0xaa, "5000");
+  gateway.send(binary(12, 0xaa, {{208, "\x10"}}));
+  wait_until([this] { return planners->pending_answers() == 0; }, "the set-up to be given up");
+  run_passes();
+  link.take_received();
+  gateway.take_received();
+  gateway.send(setup(0xaa, "d"));
+  wait_to_receive(gateway, binary(12, 0xaa, {{208, std::string(1, 41)}}));
+  EXPECT_EQ(link.received(), "");
+}
+
+// Guards against: two planners tell the end of one call, and its caller is told twice.
+TEST_F(ForwarderAndScriptedPlanner, AnEndThatComesTwiceIsToldOnce) {
+  establish();
+  say(link::MessageType::call_ended, 0xaa, {"16"});
+  say(link::MessageType::call_ended, 0xaa, {"16"});
+  say(link::MessageType::call_ended, 0xbb, {"16"});
+  wait_to_receive(gateway, binary(12, 0xbb, {{208, "\x10"}}));
+  EXPECT_EQ(count(gateway.received(), binary(12, 0xaa).substr(2)), 1u);
+}
+
 // Guards against: a call ends while its planner cannot be reached, and its caller is not told within 8 s.
 TEST_F(ForwarderAndScriptedPlanner, CallsOfAPlannerThatStaysSilentAreToldOverInTime) {
   establish();
