Connections: what a peer that has closed left unread is not sent on

Cause: 64 KiB were read and handled a pass, and the end shows only behind the last byte. Change: Stream heeds POLLRDHUP, reads the rest of an ended connection in one pass and tells its owner (peer_ended); callers' connections and links read ahead, up to 8 MiB and an eighth of the memory for all, before they hand on what was waiting. Set-ups and requests of an ended connection are passed over, releases are not.

Of the four new tests of AbusivePeer three fail on; the fourth guards what held before.

--- a/src/config.hpp
+++ b/src/config.hpp
@@ -36,6 +36,8 @@
   std::size_t output_bytes() const {
     return std::clamp<std::size_t>(waiting_bytes() / 2 / callers(), 64 * 1024, 1024 * 1024);
   }
+  // An eighth may be used by input that was read ahead of its handling.
+  std::size_t read_ahead_bytes() const { return waiting_bytes() / 2; }
   // Concurrent calls, at 1 KiB each.
   std::size_t calls() const { return waiting_bytes() / 1024; }
 };
--- a/src/front/binary.cpp
+++ b/src/front/binary.cpp
@@ -242,6 +242,7 @@
         std::make_shared<Stream>(loop_, std::move(fd), static_cast<Stream::Owner&>(*this), Priority::callers);
     Stream& stream = *connection.stream;
     stream.limit_output(max_output_bytes_);
+    stream.read_ahead();
     connections_.emplace(&stream, std::move(connection));
   }
 }
@@ -416,7 +417,8 @@
   }
   switch (type) {
     case Type::setup:
-      return handle_setup(from, call, parameters);
+      // Nobody waits for the answer to a set-up on a connection that its caller has ended.
+      return from.stream->peer_ended() || handle_setup(from, call, parameters);
     case Type::release:
       handle_release(from, call, parameters);
       return true;
--- a/src/link/link_server.cpp
+++ b/src/link/link_server.cpp
@@ -59,6 +59,7 @@
   auto stream =
       std::make_shared<Stream>(loop_, std::move(fd), static_cast<Stream::Owner&>(*this), Priority::callers);
   Stream& link = *stream;
+  link.read_ahead();
   announce_readiness();  // all connected forwarders then know the current state
   forwarders_[&link].stream = std::move(stream);
   link.send(readiness_message());
@@ -87,7 +88,8 @@
   if (message.type == MessageType::request) {
     auto request = decode_request(message, loop_.now());
     if (!request) return false;
-    if (calls_.count(call) > 0) return true;
+    // Of a forwarder that has gone nobody waits for the answer.
+    if (calls_.count(call) > 0 || from.stream->peer_ended()) return true;
     from.unanswered.insert(call);
     calls_[call] = from.stream.get();
     core_.request(std::move(*request), *this);
--- a/src/net/loop.cpp
+++ b/src/net/loop.cpp
@@ -33,7 +33,7 @@
 void Loop::read_clock() { now_ = std::max(now_, clock_()); }
 
 int Loop::wait_ms(Duration longest_wait) const {
-  if (!deferred_.empty()) return 0;
+  if (!deferred_.empty() || !next_pass_.empty()) return 0;
   Duration wait = longest_wait;
   if (!timers_.empty()) wait = std::min(wait, timers_.begin()->first - std::max(now_, clock_()));
   if (wait <= Duration{0}) return 0;
@@ -51,6 +51,7 @@
   }
   const int count = ::poll(polled.data(), polled.size(), wait_ms(longest_wait));
   read_clock();
+  const std::vector<Callback> left_over = std::exchange(next_pass_, {});
   for (std::size_t i = 0; i < polled.size() && count > 0; ++i) {
     if (polled[i].revents == 0) continue;
     const auto& list = handlers_[order[i].first];
@@ -58,6 +59,7 @@
     if (std::find(list.begin(), list.end(), order[i].second) == list.end()) continue;
     order[i].second->on_ready(polled[i].revents);
   }
+  for (const Callback& callback : left_over) callback();
   run_due_timers();
   run_deferred();
 }
--- a/src/net/loop.hpp
+++ b/src/net/loop.hpp
@@ -13,6 +13,7 @@
 #include <memory>
 #include <vector>
 
+#include "net/byte_budget.hpp"
 #include "net/clock.hpp"
 
 namespace quartzarch {
@@ -48,6 +49,8 @@
 
   // Runs the callback once, at the end of the current pass, or of the next one if none is running.
   void defer(Callback callback) { deferred_.push_back(std::move(callback)); }
+  // Runs the callback once, in the next pass, which does not wait for events.
+  void in_next_pass(Callback callback) { next_pass_.push_back(std::move(callback)); }
   // Runs the callback at the end of every pass, before the deferred ones, and again until none does anything
   // more; it returns true if it did something.
   void after_each_pass(std::function<bool()> callback) { after_each_pass_.push_back(std::move(callback)); }
@@ -61,6 +64,8 @@
   void add_reclaimer(DescriptorReclaimer& reclaimer) { reclaimers_.push_back(&reclaimer); }
   void remove_reclaimer(const DescriptorReclaimer& reclaimer) { std::erase(reclaimers_, &reclaimer); }
   bool reclaim_descriptor();
+  // What all connections together may read before their owners can handle it.
+  ByteBudget& read_ahead_budget() { return read_ahead_budget_; }
   // Keeps the object alive until the pass is over, since one of its methods may still be on the stack.
   void keep_until_pass_end(std::shared_ptr<void> object) { kept_alive_.push_back(std::move(object)); }
 
@@ -86,6 +91,8 @@
   std::map<TimerId, std::multimap<Time, Timer>::iterator> timer_of_;
   TimerId last_timer_ = 0;
   std::vector<Callback> deferred_;
+  std::vector<Callback> next_pass_;
+  ByteBudget read_ahead_budget_;
   std::vector<std::function<bool()>> after_each_pass_;
   std::vector<std::shared_ptr<void>> kept_alive_;
   std::vector<DescriptorReclaimer*> reclaimers_;
--- a/src/net/stream.cpp
+++ b/src/net/stream.cpp
@@ -14,11 +14,17 @@
 namespace quartzarch {
 namespace {
 
-// Bounds what is read from one connection per pass, so that a peer that never stops sending does not starve
+// Bounds what is handled of one connection per pass, so that a peer that never stops sending does not starve
 // the others.
-constexpr std::size_t kMaxBytesPerRead = 64 * 1024;
+constexpr std::size_t kMaxBytesPerPass = 64 * 1024;
+// Reading ahead is much cheaper than handling the input.
+constexpr std::size_t kMaxBytesReadAheadPerPass = 512 * 1024;
+// What the socket buffers of both ends can hold: a peer that has closed leaves no more than this.
+constexpr std::size_t kMaxReadAheadBytes = 8 * 1024 * 1024;
 // How long accepting is paused when the process is out of file descriptors.
 constexpr Duration kAcceptPause = std::chrono::milliseconds(100);
+// Consumed input is removed from the buffer beyond this, and the buffer grows in such steps.
+constexpr std::size_t kInputBufferStep = 1024 * 1024;
 // Unused input capacity above this is freed.
 constexpr std::size_t kMaxSpareInputCapacity = 4 * 1024;
 // Pieces per writev call; a segment takes up to two.
@@ -83,6 +89,8 @@
 
 Stream::~Stream() {
   if (connect_timer_) loop_.cancel(*connect_timer_);
+  if (pause_timer_) loop_.cancel(*pause_timer_);
+  loop_.read_ahead_budget().change(budgeted_bytes_, 0);
   loop_.unwatch(*this);
 }
 
@@ -141,15 +149,33 @@
   state_ = State::dead;
   if (connect_timer_) loop_.cancel(*connect_timer_);
   connect_timer_.reset();
+  if (pause_timer_) loop_.cancel(*std::exchange(pause_timer_, std::nullopt));
   loop_.unwatch(*this);
   fd_.reset();
 }
 
+void Stream::pause_input(Time until) {
+  if (pause_timer_ || state_ != State::up) return;
+  pause_timer_ = loop_.at(until, [this] {
+    pause_timer_.reset();
+    if (state_ == State::up && pending_input() > 0) deliver();
+  });
+}
+
 short Stream::interest() const {
   if (state_ == State::connecting) return POLLOUT;
-  // A peer that keeps sending requests without reading the answers is not read from, so that its answers do
-  // not fill the memory. POLLRDHUP still reports that it has disconnected.
-  return static_cast<short>((accepts_input() ? POLLIN : POLLRDHUP) | (output_.empty() ? 0 : POLLOUT));
+  // POLLRDHUP reports the peer's end also while nothing is read and while much that it sent is still unread.
+  return static_cast<short>((wants_input() ? POLLIN : 0) | POLLRDHUP | (output_.empty() ? 0 : POLLOUT));
+}
+
+// A peer that keeps sending requests without reading the answers is not read from, so that its answers do not
+// fill the memory.
+bool Stream::wants_input() const {
+  return accepts_input() && !pause_timer_ && (!delivery_scheduled_ || may_read_ahead());
+}
+
+bool Stream::may_read_ahead() const {
+  return reads_ahead_ && pending_input() < kMaxReadAheadBytes && !loop_.read_ahead_budget().exhausted();
 }
 
 void Stream::on_ready(short events) {
@@ -166,36 +192,107 @@
     if (state_ == State::up && !output_.empty()) flush_at_pass_end();
     return;
   }
-  if ((events & POLLRDHUP) && !accepts_input()) return fail(DisconnectReason::closed);
-  if (events & (POLLIN | POLLHUP | POLLERR)) read();
+  peer_ended_ |= (events & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
+  if (peer_ended_ && !accepts_input()) return fail(DisconnectReason::closed);
+  if (events & (POLLIN | POLLRDHUP | POLLHUP | POLLERR)) read();
   if (state_ == State::up && (events & POLLOUT)) flush_at_pass_end();
 }
 
 void Stream::read() {
-  if (consumed_ > 0) input_.erase(0, std::exchange(consumed_, 0));
-  const std::size_t had = input_.size();
+  const std::size_t had = pending_input();
+  std::optional<DisconnectReason> end =
+      receive(may_read_ahead() ? kMaxBytesReadAheadPerPass : kMaxBytesPerPass);
+  if (pending_input() > had) last_used_ = loop_.now();
+  peer_ended_ |= end.has_value();
+  if (!peer_ended_) {
+    if (!socket_drained_ && may_read_ahead()) return;  // poll reports the rest at once
+    if (input_is_new_) deliver();
+    return;
+  }
+  // All that the peer has sent is in the socket.
+  while (state_ == State::up && pending_input() > 0) {
+    deliver_all();
+    if (end || state_ != State::up) break;
+    end = receive(kMaxBytesPerPass);
+    if (socket_drained_) break;
+  }
+  if (end && state_ == State::up) fail(*end);
+}
+
+std::optional<DisconnectReason> Stream::receive(std::size_t most) {
+  release_consumed();
+  socket_drained_ = false;
   std::optional<DisconnectReason> end;
-  while (input_.size() - had < kMaxBytesPerRead) {
+  for (std::size_t received = 0; received < most;) {
     char bytes[16 * 1024];
     const ssize_t count = ::recv(fd_.get(), bytes, sizeof bytes, 0);
     if (count > 0) {
+      grow_input_buffer(static_cast<std::size_t>(count));
       input_.append(bytes, static_cast<std::size_t>(count));
+      received += static_cast<std::size_t>(count);
+      input_is_new_ = true;
       continue;
     }
     if (count < 0 && errno == EINTR) continue;
     if (count == 0) end = DisconnectReason::closed;
     if (count < 0 && errno != EAGAIN && errno != EWOULDBLOCK) end = DisconnectReason::reset;
+    socket_drained_ = true;
     break;
   }
-  if (input_.size() > had) {
-    last_used_ = loop_.now();
+  release_consumed();
+  return end;
+}
+
+// A large buffer does not double its capacity.
+void Stream::grow_input_buffer(std::size_t count) {
+  const std::size_t needed = input_.size() + count;
+  if (needed > input_.capacity() && needed > kInputBufferStep) input_.reserve(needed + kInputBufferStep);
+}
+
+void Stream::deliver() {
+  if (delivery_scheduled_ || pause_timer_ || pending_input() == 0) return;
+  offer_input(reads_ahead_ ? kMaxBytesPerPass : pending_input());
+  if (state_ != State::up) return;
+  if (reads_ahead_ && pending_input() > offered_ && !pause_timer_) deliver_in_next_pass();
+  release_consumed();
+}
+
+void Stream::deliver_in_next_pass() {
+  delivery_scheduled_ = true;
+  loop_.in_next_pass([this, alive_token = std::weak_ptr(alive_token_)] {
+    if (alive_token.expired()) return;
+    delivery_scheduled_ = false;
+    if (state_ == State::up) deliver();
+  });
+}
+
+void Stream::deliver_all() {
+  for (std::size_t left = pending_input() + 1;
+       state_ == State::up && pending_input() > 0 && pending_input() < left;) {
+    left = pending_input();
+    offer_input(left);
+  }
+}
+
+// If a message is longer than what is offered, more is.
+void Stream::offer_input(std::size_t count) {
+  for (;; count += kMaxBytesPerPass) {
+    offered_ = std::min(count, pending_input());
+    const std::size_t before = consumed_;
+    input_is_new_ = false;
     owner_.on_data(*this);
+    if (state_ != State::up || consumed_ != before || pause_timer_ || offered_ >= pending_input()) return;
   }
-  // Consumed input is freed; otherwise hundreds of connections would each keep the capacity of their longest
-  // message for good.
-  if (consumed_ > 0) input_.erase(0, std::exchange(consumed_, 0));
-  if (input_.capacity() - input_.size() > kMaxSpareInputCapacity) input_.shrink_to_fit();
-  if (end && state_ == State::up) fail(*end);
+}
+
+// Consumed input is freed; otherwise hundreds of connections would each keep the capacity of their longest
+// message for good.
+void Stream::release_consumed() {
+  if (consumed_ > 0 && consumed_ >= std::min(input_.size() / 2, kInputBufferStep))
+    input_.erase(0, std::exchange(consumed_, 0));
+  if (input_.capacity() > 2 * input_.size() + kMaxSpareInputCapacity) input_.shrink_to_fit();
+  const std::size_t ahead = reads_ahead_ ? pending_input() - std::min(pending_input(), kMaxBytesPerPass) : 0;
+  loop_.read_ahead_budget().change(std::exchange(budgeted_bytes_, ahead), ahead);
 }
 
 void Stream::flush() {
--- a/src/net/stream.hpp
+++ b/src/net/stream.hpp
@@ -51,8 +51,22 @@
   // nothing is read from the peer until it has taken some.
   void limit_output(std::size_t bytes) { max_output_bytes_ = bytes; }
 
-  std::string_view input() const { return std::string_view(input_).substr(consumed_); }
-  void consume(std::size_t count) { consumed_ += count; }
+  // Lets the connection read ahead: as long as more input waits in the socket than is handled in a pass, it
+  // is read (up to kMaxReadAheadBytes, and within the loop's budget) before the owner gets any of it. If the
+  // peer turns out to have ended the connection, the owner gets that input with peer_ended() set.
+  void read_ahead() { reads_ahead_ = true; }
+
+  // Input for the owner, in on_data(); more of it may follow in later passes.
+  std::string_view input() const { return std::string_view(input_).substr(consumed_, offered_); }
+  void consume(std::size_t count) {
+    consumed_ += count;
+    offered_ -= count;
+  }
+  // The peer has ended the connection: what it still sent is input, and no answer reaches it.
+  bool peer_ended() const { return peer_ended_; }
+  // Neither reads nor hands on input until then, unless the peer ends the connection.
+  void pause_input(Time until);
+  bool input_paused() const { return pause_timer_.has_value(); }
 
   void send(Segment segment);
   // Removes a queued segment of which no byte was written; false if there is none with that tag.
@@ -88,7 +102,20 @@
   enum class State { connecting, up, dead };
 
   bool accepts_input() const { return queued_bytes_ <= max_output_bytes_ / 2; }
+  bool wants_input() const;
+  // Input that the owner has not consumed.
+  std::size_t pending_input() const { return input_.size() - consumed_; }
+  bool may_read_ahead() const;
   void read();
+  // Reads up to `most` bytes; returns why the connection has ended, if it has.
+  std::optional<DisconnectReason> receive(std::size_t most);
+  // Gives the owner a pass's worth of input, or all of it.
+  void deliver();
+  void deliver_all();
+  void offer_input(std::size_t count);
+  void deliver_in_next_pass();
+  void release_consumed();
+  void grow_input_buffer(std::size_t count);
   void flush();
   void flush_at_pass_end();
   void fail(DisconnectReason reason);
@@ -100,6 +127,14 @@
   State state_ = State::up;
   std::string input_;
   std::size_t consumed_ = 0;
+  std::size_t offered_ = 0;         // bytes of input() behind the consumed ones
+  std::size_t budgeted_bytes_ = 0;  // counted in the loop's budget for reading ahead
+  bool reads_ahead_ = false;
+  bool input_is_new_ = false;   // the owner has not been called since some was read
+  bool socket_drained_ = true;  // as of the last read
+  bool peer_ended_ = false;
+  bool delivery_scheduled_ = false;
+  std::optional<Loop::TimerId> pause_timer_{};
   std::deque<Segment> output_;
   std::size_t front_bytes_written_ = 0;  // of the first segment of output_
   std::size_t queued_bytes_ = 0;
--- a/src/serve.cpp
+++ b/src/serve.cpp
@@ -366,6 +366,7 @@
   std::string text = files.read(config_path);
   const Config config = within_process_limits(parse_config(text));
   service.set_active_text(std::move(text));
+  loop.read_ahead_budget().set_limit(config.limits.read_ahead_bytes());
   std::string unknown;
   for (const std::string& path : config.unknown) unknown += (unknown.empty() ? "" : ", ") + path;
   if (!unknown.empty()) log.line("configuration: settings that mean nothing here: %s", unknown.c_str());
--- /dev/null
+++ b/tests/abusive_peer_test.cpp
@@ -0,0 +1,90 @@
+// Tests of peers that send far more than they should, or close with much unread: what the others and the
+// setup servers see of it.
+#include "link/link_server.hpp"
+#include "loopback.hpp"
+
+namespace quartzarch::test {
+namespace {
+
+// Writes as many of the messages as the sockets take, without the loop running; more than one pass handles.
+void write_much(const Peer& peer, const std::function<std::string(CallId)>& message) {
+  const int buffer = 512 * 1024;
+  ::setsockopt(peer.descriptor(), SOL_SOCKET, SO_SNDBUF, &buffer, sizeof buffer);
+  std::size_t written = 0;
+  for (CallId call = 1000; written < 300 * 1024; ++call) {
+    const std::string bytes = message(call);
+    const ssize_t sent = ::send(peer.descriptor(), bytes.data(), bytes.size(), MSG_NOSIGNAL | MSG_DONTWAIT);
+    if (sent != static_cast<ssize_t>(bytes.size())) break;
+    written += bytes.size();
+  }
+  ASSERT_GT(written, 150u * 1024);
+}
+
+class AbusivePeer : public Program {
+ protected:
+  AbusivePeer() { open_server(); }
+  std::size_t offers() { return count(server.received(), "\"offer\""); }
+  std::size_t ends() { return count(server.received(), "\"end\""); }
+};
+
+// Guards against: set-ups that a caller had written before it closed are sent on afterwards, pass by pass.
+TEST_F(AbusivePeer, SetUpsLeftUnreadByACallerThatClosesAreNotSentOn) {
+  for (const bool with_reset : {false, true}) {
+    Peer caller = connect_caller();
+    run_passes(3);
+    write_much(caller, [](CallId call) { return setup(call, std::string(500, 'd')); });
+    with_reset ? caller.reset() : caller.close();
+    run_passes(60);
+    EXPECT_EQ(offers(), 0u) << "reset: " << with_reset;
+  }
+  EXPECT_EQ(planner->pending_answers(), 0u);
+}
+
+// Guards against: releases are forgotten together with the set-ups of a caller that closes.
+TEST_F(AbusivePeer, AReleaseLeftUnreadByACallerThatClosesIsSentOn) {
+  Peer gateway = connect_caller();
+  establish_call(gateway);
+  Peer other = connect_caller();
+  run_passes(3);
+  write_much(other, [](CallId call) { return setup(call, std::string(500, 'd')); });
+  other.send(binary(12, 0xaa, {{208, "\x10"}}));
+  other.close();
+  wait_to_receive(server, "{\"op\":\"end\",\"call\":\"00000000000000aa\"");
+  EXPECT_EQ(offers(), 0u);
+}
+
+// Guards against: one that writes more than a pass handles and goes on waiting gets no answers.
+TEST_F(AbusivePeer, SetUpsOfACallerThatStaysAreAllTaken) {
+  Peer caller = connect_caller();
+  run_passes(3);
+  std::size_t written = 0;
+  write_much(caller, [&](CallId call) { return ++written, setup(call, std::string(500, 'd')); });
+  wait_until(
+      [&] {
+        return planner->pending_answers() + count(caller.received(), std::string{'\xd0', 0, 1, 42}) >=
+               written - 1;
+      },
+      "an answer or a place for each set-up");
+}
+
+// Guards against: the same on the link, where a forwarder that has gone had written requests.
+TEST_F(AbusivePeer, RequestsLeftUnreadByAForwarderThatHasGoneAreNotSentOn) {
+  link::LinkServer link_server(loop, log, *planner, any_port());
+  Peer forwarder = Peer::connect(link_server.address());
+  run_passes(3);
+  write_much(forwarder, [this](CallId call) {
+    Request request;
+    request.call = call;
+    request.call_class = "voice";
+    request.description = std::string(500, 'd');
+    request.received_at = loop.now();
+    const Segment segment = link::encode(request, loop.now());
+    return segment.head + segment.body;
+  });
+  forwarder.reset();
+  run_passes(60);
+  EXPECT_EQ(offers(), 0u);
+}
+
+}  // namespace
+}  // namespace quartzarch::test
