Fronts, link: releases of calls that are not known are paced for each peer

Cause: such a release goes to every setup server without a bound, and its id pushed a call that had really ended out of the memory. Made-up ids and calls that were never offered have memories of their own.

--- a/src/core/calls.hpp
+++ b/src/core/calls.hpp
@@ -76,6 +76,9 @@
   virtual void cancel(CallId call) = 0;
   // The caller ends an established call.
   virtual void release(CallId call, int cause) = 0;
+  // False for a call of which nothing is remembered here: its release goes to every setup server, since the
+  // call may have been set up before this process started.
+  virtual bool knows(CallId call) const = 0;
   // True once the list of setup servers is known.
   virtual bool ready() const = 0;
 };
--- a/src/core/exchange.hpp
+++ b/src/core/exchange.hpp
@@ -55,6 +55,7 @@
   std::optional<Attempt> attempt{};    // in flight or established
   EarlierAttempts earlier_attempts{};  // what may still arrive for those before it
   unsigned attempts_made = 0;          // including the current one
+  bool was_offered = false;            // a server may have heard of the call
   bool last_timed_out = false;         // the last attempt ended by a time-out
 
  private:
--- a/src/core/planner.cpp
+++ b/src/core/planner.cpp
@@ -141,7 +141,7 @@
   };
   // Callers use a new id for every set-up. Messages about an ended call may still arrive under its id, and a
   // faulty caller that reuses one id endlessly must not cause an attempt each time.
-  if (ended_calls_.contains(call)) return fail_now();
+  if (has_ended(call) || released_unknown_.contains(call)) return fail_now();
   const auto& names = start_.class_names;
   const auto name =
       request.call_class.empty() ? names.end() : std::find(names.begin(), names.end(), request.call_class);
@@ -261,7 +261,7 @@
   Exchange* const exchange = find(call);
   if (!exchange) {
     // The call may have been set up before this process started.
-    if (ended_calls_.remember(call)) servers_.release_everywhere(call, cause);
+    if (!has_ended(call) && released_unknown_.remember(call)) servers_.release_everywhere(call, cause);
     return;
   }
   if (!exchange->established()) return cancel(call);
@@ -286,9 +286,9 @@
 }
 
 void Planner::handle_unknown_call_message(const ServerId& server, const ServerLine& line) {
-  const bool has_ended = ended_calls_.contains(line.call);
+  const bool ended = has_ended(line.call) || released_unknown_.contains(line.call);
   if (line.op == ServerOp::accept) {
-    if (!has_ended) return ignore(server, line, "unknown call");
+    if (!ended) return ignore(server, line, "unknown call");
     // No caller will use the call.
     log_.call_line("call %s: late answer of %s, released there", call_text(line.call).c_str(),
                    server_text(server).c_str());
@@ -298,7 +298,7 @@
   // end.
   const bool call_over = line.why == cause::kNormal || line.why == cause::kTemporary;
   ended_calls_.remember(line.call);
-  if (!has_ended && call_over && unknown_call_front_) unknown_call_front_->call_ended(line.call, line.why);
+  if (!ended && call_over && unknown_call_front_) unknown_call_front_->call_ended(line.call, line.why);
 }
 
 // The message concerns an earlier attempt at that server, which has ended. A call that it established has no
@@ -484,9 +484,19 @@
 }
 
 void Planner::forget(CallId call) {
-  if (calls_.erase(call) == 0) return;
+  const auto found = calls_.find(call);
+  if (found == calls_.end()) return;
+  (found->second.was_offered ? ended_calls_ : never_offered_).remember(call);
+  calls_.erase(found);
   servers_.forget_attempts(call);
-  ended_calls_.remember(call);
+}
+
+bool Planner::has_ended(CallId call) const {
+  return ended_calls_.contains(call) || never_offered_.contains(call);
+}
+
+bool Planner::knows(CallId call) const {
+  return calls_.count(call) > 0 || has_ended(call) || released_unknown_.contains(call);
 }
 
 void Planner::attempt_ended(Exchange& exchange, Ending ending, Cause cause, const LoadReport& report) {
@@ -569,7 +579,7 @@
       block_attempt(*exchange);
       continue;
     }
-    exchange->attempt->dispatched = true;
+    exchange->attempt->dispatched = exchange->was_offered = true;
     if (number > 0) {
       log_.call_line("call %s: attempt %u to %s", call_text(call).c_str(), number,
                      server_text(exchange->attempt->server).c_str());
--- a/src/core/planner.hpp
+++ b/src/core/planner.hpp
@@ -54,6 +54,7 @@
   void request(Request request, Front& front) override;
   void cancel(CallId call) override;
   void release(CallId call, int cause) override;
+  bool knows(CallId call) const override;
   bool ready() const override { return server_list_known_; }
   // Over all classes, including those added at SIGHUP.
   Duration longest_deadline() const { return start_.longest_deadline; }
@@ -111,6 +112,7 @@
   // Logs and counts a server's message that matches no current attempt.
   void ignore(const ServerId& server, const ServerLine& line, const char* reason);
   void forget(CallId call);
+  bool has_ended(CallId call) const;
 
   void execute(const SendSetup& action);
   void execute(const CancelAttempt& action);
@@ -141,8 +143,13 @@
   std::deque<Event> events_;
   bool processing_events_ = false;
   std::vector<std::pair<CallId, unsigned>>
-      due_attempts_;        // attempts to be sent at the end of this pass of the event loop
-  EndedCalls ended_calls_;  // so that no end is reported twice
+      due_attempts_;  // attempts to be sent at the end of this pass of the event loop
+  // Calls that were offered to a server and have ended: no end of them is reported twice.
+  EndedCalls ended_calls_;
+  // Ended without an offer, and released without being known here. Peers can make up any number of these, so
+  // they have memories of their own.
+  EndedCalls never_offered_;
+  EndedCalls released_unknown_;
   Front* unknown_call_front_ = nullptr;
   AdmissionFilter* admission_filter_ = nullptr;
   const Drain* drain_ = nullptr;
--- a/src/front/binary.cpp
+++ b/src/front/binary.cpp
@@ -47,9 +47,6 @@
 // A caller that only sent tests has no call that it would use the connection for again.
 constexpr Duration kIdleTimeoutAfterTest = std::chrono::seconds(3);
 constexpr Duration kSweepInterval = std::chrono::milliseconds(250);
-// Unanswered set-ups per connection, so that a flood on one connection leaves capacity for the others.
-constexpr std::size_t kMaxOpenSetups = 400;
-constexpr Duration kRetryAfterAtMaxOpenSetups = std::chrono::seconds(1);
 // Largest value of a routing hint that is accepted.
 constexpr double kMaxHint = 1e6;
 
@@ -295,7 +292,7 @@
     return now - connection.stream->last_written() > kUnreadOutputTimeout ? CloseReason::unread
                                                                           : CloseReason::none;
   }
-  if (!connection.open.empty() || connection.partial_since) return CloseReason::none;
+  if (!connection.idle() || connection.partial_since) return CloseReason::none;
   // The end of an established call is reported on its connection, which therefore stays open until then.
   if (const auto quiet = drain_ ? drain_->idle_timeout(now) : std::nullopt) {
     if (now - connection.stream->last_used() >= *quiet && with_calls_.count(connection.stream.get()) == 0)
@@ -396,9 +393,10 @@
     }
     if (input.size() < kLengthBytes + length) break;
     found->second.partial_since.reset();
-    const bool valid = handle_message(found->second, input.substr(kLengthBytes, length));
+    const Handled handled = handle_message(found->second, input.substr(kLengthBytes, length));
     if (!stream.alive()) return;
-    if (!valid) return close(connections_.find(&stream), "malformed message");
+    if (handled == Handled::later) return stream.pause_input(loop_.now() + kUnknownReleasePause);
+    if (handled == Handled::malformed) return close(connections_.find(&stream), "malformed message");
     stream.consume(kLengthBytes + length);
   }
   const auto found = connections_.find(&stream);
@@ -406,36 +404,36 @@
   found->second.partial_since = loop_.now();
 }
 
-bool BinaryFront::handle_message(Connection& from, std::string_view message) {
-  if (ending_connections_) return true;
+BinaryFront::Handled BinaryFront::handle_message(Connection& from, std::string_view message) {
+  if (ending_connections_) return Handled::done;
   const auto type = static_cast<Type>(message[0]);
   const CallId call = call_of(message.substr(1));
   const std::string_view parameters = message.substr(kHeadBytes);
   std::string_view rest = parameters, value;
   for (Code code{}; !rest.empty();) {
-    if (!next_parameter(rest, code, value)) return false;
+    if (!next_parameter(rest, code, value)) return Handled::malformed;
   }
   switch (type) {
     case Type::setup:
       // Nobody waits for the answer to a set-up on a connection that its caller has ended.
-      return from.stream->peer_ended() || handle_setup(from, call, parameters);
+      if (!from.stream->peer_ended()) handle_setup(from, call, parameters);
+      return Handled::done;
     case Type::release:
-      handle_release(from, call, parameters);
-      return true;
+      return handle_release(from, call, parameters);
     case Type::test: {
       // A passed health check makes the load balancer send new connections here, whatever the management
       // address answers, so a drained process must fail it.
       const bool passed = core_.ready() && (!drain_ || drain_->passes_health_checks());
       from.activity = std::max(from.activity, CallerActivity::tested);
       from.stream->send(Message(Type::test_result, call).put_cause(passed ? 1 : 0).finish(tag(Kind::other)));
-      return true;
+      return Handled::done;
     }
     default:
-      return true;  // progress and the other types need no action
+      return Handled::done;  // progress and the other types need no action
   }
 }
 
-bool BinaryFront::handle_setup(Connection& from, CallId call, std::string_view parameters) {
+void BinaryFront::handle_setup(Connection& from, CallId call, std::string_view parameters) {
   Request request;
   request.call = call;
   request.caller = from.peer;
@@ -462,26 +460,25 @@
       calls_.erase(known);
       core_.cancel(call);
     }
-    reject_setup(from, call);
-    return true;
+    return reject_setup(from, call);
   }
   if (!valid || request.description.empty()) {
     log_.line("caller: a set-up with a figure out of range or without a description, failed");
-    reject_setup(from, call);
-    return true;
-  }
-  if (from.open.size() >= kMaxOpenSetups) {
-    from.stream->send(
-        Message(Type::release, call)
-            .put_cause(cause::kCongestion)
-            .put(Code::retry_after, std::to_string(kRetryAfterAtMaxOpenSetups / std::chrono::milliseconds(1)))
-            .finish(tag(Kind::other)));
-    return true;
+    return reject_setup(from, call);
   }
+  if (from.open.size() >= kMaxOpenSetUps) return refuse_setup(from, call);
   from.open.insert(call);
   calls_[call] = from.stream.get();
   core_.request(std::move(request), *this);
-  return true;
+}
+
+// Refuses the set-up without passing it to the core, because too many of the connection are open.
+void BinaryFront::refuse_setup(Connection& from, CallId call) {
+  from.stream->send(
+      Message(Type::release, call)
+          .put_cause(cause::kCongestion)
+          .put(Code::retry_after, std::to_string(kRetryAfterAtMaxOpenSetUps / std::chrono::milliseconds(1)))
+          .finish(tag(Kind::other)));
 }
 
 // Answers the set-up with a temporary failure without passing it to the core.
@@ -490,7 +487,11 @@
   from.stream->send(Message(Type::release, call).put_cause(cause::kTemporary).finish(tag(Kind::other)));
 }
 
-void BinaryFront::handle_release(Connection& from, CallId call, std::string_view parameters) {
+BinaryFront::Handled BinaryFront::handle_release(Connection& from, CallId call, std::string_view parameters) {
+  const ReleaseTurn turn =
+      from.unknown_releases.turn(core_.knows(call), from.stream->peer_ended(), loop_.now());
+  if (turn == ReleaseTurn::later) return Handled::later;
+  if (turn == ReleaseTurn::never) return Handled::done;
   int cause = cause::kNormal;
   std::string_view value;
   for (Code code{}; !parameters.empty() && next_parameter(parameters, code, value);) {
@@ -500,7 +501,7 @@
   Connection* const owner = owner_of(call);
   const bool open = owner && owner->open.count(call) > 0;
   // An established call may be released on any connection, an open set-up only on its own.
-  if (open && owner != &from) return;
+  if (open && owner != &from) return Handled::done;
   calls_.erase(call);
   if (open) {
     owner->open.erase(call);
@@ -508,6 +509,7 @@
   } else {
     core_.release(call, cause);
   }
+  return Handled::done;
 }
 
 // ---- To callers
--- a/src/front/binary.hpp
+++ b/src/front/binary.hpp
@@ -10,6 +10,7 @@
 
 #include "core/calls.hpp"
 #include "core/drain.hpp"
+#include "core/peer_limits.hpp"
 #include "log.hpp"
 #include "net/stream.hpp"
 
@@ -56,8 +57,9 @@
     std::uint32_t peer = 0;  // IPv4 address in host byte order
     CallerActivity activity = CallerActivity::none;
     std::optional<Time> partial_since{};  // since when a message has been incomplete
+    UnknownReleasePace unknown_releases{};
 
-    bool idle() const { return open.empty() && stream->unsent().empty(); }
+    bool idle() const { return open.empty() && stream->unsent().empty() && !stream->input_paused(); }
   };
   using Connections = std::map<const Stream*, Connection>;
 
@@ -68,10 +70,13 @@
   void on_data(Stream& stream) override;
   void on_disconnected(Stream& stream, DisconnectReason reason) override;
 
-  bool handle_message(Connection& from, std::string_view message);
-  bool handle_setup(Connection& from, CallId call, std::string_view parameters);
+  // `later`: not handled yet, input is paused.
+  enum class Handled { done, malformed, later };
+  Handled handle_message(Connection& from, std::string_view message);
+  void handle_setup(Connection& from, CallId call, std::string_view parameters);
   void reject_setup(Connection& from, CallId call);
-  void handle_release(Connection& from, CallId call, std::string_view parameters);
+  void refuse_setup(Connection& from, CallId call);
+  Handled handle_release(Connection& from, CallId call, std::string_view parameters);
   Connection* owner_of(CallId call);
   Connection* finish_setup(CallId call);
   void close(Connections::const_iterator connection, const char* why);
--- a/src/link/link_server.cpp
+++ b/src/link/link_server.cpp
@@ -74,7 +74,10 @@
     if (result == DecodeResult::incomplete) return;
     const auto found = forwarders_.find(&stream);
     if (found == forwarders_.end()) return;
-    if (result == DecodeResult::malformed || !handle(found->second, message)) {
+    const Handled handled =
+        result == DecodeResult::malformed ? Handled::malformed : handle(found->second, message);
+    if (handled == Handled::later) return stream.pause_input(loop_.now() + kUnknownReleasePause);
+    if (handled == Handled::malformed) {
       log_.line("link: malformed message from a forwarder, connection closed");
       stream.close();
       return on_disconnected(stream, DisconnectReason::closed);
@@ -83,19 +86,39 @@
   }
 }
 
-bool LinkServer::handle(Forwarder& from, const LinkMessage& message) {
+LinkServer::Handled LinkServer::handle(Forwarder& from, const LinkMessage& message) {
+  switch (message.type) {
+    case MessageType::request:
+      return handle_request(from, message);
+    case MessageType::cancel:
+    case MessageType::release:
+      return handle_end(from, message);
+    default:
+      return Handled::malformed;
+  }
+}
+
+LinkServer::Handled LinkServer::handle_request(Forwarder& from, const LinkMessage& message) {
+  auto request = decode_request(message, loop_.now());
+  if (!request) return Handled::malformed;
+  // Of a forwarder that has gone nobody waits for the answer.
+  if (calls_.count(message.call) > 0 || from.stream->peer_ended()) return Handled::done;
+  from.unanswered.insert(message.call);
+  calls_[message.call] = from.stream.get();
+  core_.request(std::move(*request), *this);
+  return Handled::done;
+}
+
+LinkServer::Handled LinkServer::handle_end(Forwarder& from, const LinkMessage& message) {
   const CallId call = message.call;
-  if (message.type == MessageType::request) {
-    auto request = decode_request(message, loop_.now());
-    if (!request) return false;
-    // Of a forwarder that has gone nobody waits for the answer.
-    if (calls_.count(call) > 0 || from.stream->peer_ended()) return true;
-    from.unanswered.insert(call);
-    calls_[call] = from.stream.get();
-    core_.request(std::move(*request), *this);
-    return true;
+  switch (from.unknown_releases.turn(core_.knows(call), from.stream->peer_ended(), loop_.now())) {
+    case ReleaseTurn::later:
+      return Handled::later;
+    case ReleaseTurn::never:
+      return Handled::done;
+    case ReleaseTurn::now:
+      break;
   }
-  if (message.type != MessageType::cancel && message.type != MessageType::release) return false;
   const bool unanswered = from.unanswered.erase(call) > 0;
   calls_.erase(call);
   // A cancel may have crossed the answer: the call is then established, but the forwarder has dropped it.
@@ -105,7 +128,7 @@
     core_.release(
         call, message.type == MessageType::release ? static_cast<int>(message.number(0)) : cause::kTemporary);
   }
-  return true;
+  return Handled::done;
 }
 
 void LinkServer::on_disconnected(Stream& stream, DisconnectReason) {
--- a/src/link/link_server.hpp
+++ b/src/link/link_server.hpp
@@ -9,6 +9,7 @@
 #include <unordered_map>
 
 #include "core/calls.hpp"
+#include "core/peer_limits.hpp"
 #include "link/message.hpp"
 #include "log.hpp"
 
@@ -39,6 +40,7 @@
   struct Forwarder {
     std::shared_ptr<Stream> stream{};
     std::set<CallId> unanswered{};
+    UnknownReleasePace unknown_releases{kLinkReleaseFactor};
   };
 
   int descriptor() const override { return acceptor_.fd().get(); }
@@ -47,8 +49,12 @@
   void on_data(Stream& stream) override;
   void on_disconnected(Stream& stream, DisconnectReason how) override;
 
-  // False if the message is malformed or of a type that forwarders do not send.
-  bool handle(Forwarder& from, const LinkMessage& message);
+  // `malformed`: or of a type that forwarders do not send. `later`: not handled yet, input is paused.
+  enum class Handled { done, malformed, later };
+  Handled handle(Forwarder& from, const LinkMessage& message);
+  Handled handle_request(Forwarder& from, const LinkMessage& message);
+  // A cancel or a release.
+  Handled handle_end(Forwarder& from, const LinkMessage& message);
   // The connected forwarder of a call; null if there is none.
   Forwarder* forwarder_of(CallId call);
   // Sends a result to the call's forwarder; forgets the call unless it is established.
--- a/src/link/planners.hpp
+++ b/src/link/planners.hpp
@@ -43,6 +43,7 @@
   void request(Request request, Front& front) override;
   void cancel(CallId call) override;
   void release(CallId call, int cause) override;
+  bool knows(CallId call) const override { return calls_.count(call) > 0 || ended_calls_.contains(call); }
   bool ready() const override;
 
  private:
--- a/tests/abusive_peer_test.cpp
+++ b/tests/abusive_peer_test.cpp
@@ -86,5 +86,39 @@
   EXPECT_EQ(offers(), 0u);
 }
 
+// Guards against: one client sends releases of ever new ids, each of which goes to every setup server, and
+// other callers wait. None is lost: they are only paced.
+TEST_F(AbusivePeer, ReleasesOfUnknownCallsArePacedAndNoneIsLost) {
+  const FrozenClock held;
+  Peer flooder = connect_caller();
+  run_passes(3);
+  constexpr std::size_t kReleases = 2000;
+  for (CallId call = 1; call <= kReleases; ++call) flooder.send(binary(12, call << 32, {{208, "\x10"}}));
+  run_passes(100);
+  EXPECT_GT(ends(), 0u);
+  EXPECT_LE(ends(), 600u);
+  Peer gateway = connect_caller();
+  gateway.send(setup(0xbb, "d"));
+  wait_to_receive(server, "00000000000000bb");
+  pass_time(std::chrono::seconds(4), milliseconds(20));
+  EXPECT_EQ(ends(), kReleases);
+}
+
+// Guards against: ids that a client makes up push out the memory of calls that really ended, and the end of
+// one of them is told a second time.
+TEST_F(AbusivePeer, MadeUpIdsDoNotPushOutCallsThatHaveEnded) {
+  Peer gateway = connect_caller();
+  establish_call(gateway);
+  const std::string end = line("end", "00000000000000aa", "\"why\":16");
+  server.send(end);
+  wait_to_receive(gateway, binary(12, 0xaa, {{208, "\x10"}}));
+  for (CallId call = 1; call <= 30000; ++call) planner->release(call << 32, cause::kNormal);
+  gateway.take_received();
+  server.take_received();
+  server.send(end);
+  run_passes(60);
+  EXPECT_EQ(gateway.received(), "");
+}
+
 }  // namespace
 }  // namespace quartzarch::test
