Binary front: a connection that floods set-ups loses its share of the open ones

Cause: the flood has 400 open set-ups at any time, and the module dispatches the latest first. Change: OpenSetUpLimit halves the limit, down to 32, while a connection is refused for it 50 times within 50 ms; it doubles again each 0.5 s without a flood.

--- a/src/core/peer_limits.hpp
+++ b/src/core/peer_limits.hpp
@@ -15,6 +15,8 @@
 
 // Set-ups of one peer that may be open (without an answer) at once.
 inline constexpr std::size_t kMaxOpenSetUps = 400;
+// The same for a peer that goes on sending set-ups far beyond its limit.
+inline constexpr std::size_t kMinOpenSetUps = 32;
 // How long a peer is told to stay away whose set-up is refused for this limit.
 inline constexpr Duration kRetryAfterAtMaxOpenSetUps = std::chrono::seconds(1);
 // Releases of calls that are not known here, of one caller's connection: each goes to every setup server.
@@ -25,6 +27,47 @@
 // A peer with more of them is not read from for this long.
 inline constexpr Duration kUnknownReleasePause = std::chrono::milliseconds(20);
 
+// SIP datagrams of one peer over UDP that are handled; others are dropped.
+inline constexpr double kDatagramsPerSecond = 4000;
+inline constexpr double kDatagramBurst = 400;
+
+// Limits the open set-ups of one peer. A peer that is refused for the limit and yet sends set-ups at a high
+// rate gets a smaller one: its set-ups would delay those of all other peers for as long as it goes on.
+class OpenSetUpLimit {
+ public:
+  // False if a further set-up is to be refused while `open` are open.
+  bool admits(std::size_t open, Time now) {
+    if (now - interval_begun_at_ >= kInterval) begin_interval(now);
+    if (open < limit_) return true;
+    ++refused_;
+    return false;
+  }
+  std::size_t limit() const { return limit_; }
+
+ private:
+  static constexpr Duration kInterval = std::chrono::milliseconds(50);
+  // In an interval. No gateway that heeds the time to stay away comes near it.
+  static constexpr std::size_t kFloodRefusals = 50;
+  // After this long without a flood the limit is doubled.
+  static constexpr Duration kRecoveryTime = std::chrono::milliseconds(500);
+
+  void begin_interval(Time now) {
+    interval_begun_at_ = now;
+    if (std::exchange(refused_, 0) >= kFloodRefusals) {
+      limit_ = std::max(limit_ / 2, kMinOpenSetUps);
+      changed_at_ = now;
+    } else if (now - changed_at_ >= kRecoveryTime) {
+      limit_ = std::min(limit_ * 2, kMaxOpenSetUps);
+      changed_at_ = now;
+    }
+  }
+
+  std::size_t limit_ = kMaxOpenSetUps;
+  std::size_t refused_ = 0;  // in this interval
+  Time interval_begun_at_{};
+  Time changed_at_{};
+};
+
 // Admits `rate` events a second on average, and up to `burst` at once.
 class TokenBucket {
  public:
--- a/src/front/binary.cpp
+++ b/src/front/binary.cpp
@@ -466,7 +466,7 @@
     log_.line("caller: a set-up with a figure out of range or without a description, failed");
     return reject_setup(from, call);
   }
-  if (from.open.size() >= kMaxOpenSetUps) return refuse_setup(from, call);
+  if (!from.set_up_limit.admits(from.open.size(), loop_.now())) return refuse_setup(from, call);
   from.open.insert(call);
   calls_[call] = from.stream.get();
   core_.request(std::move(request), *this);
--- a/src/front/binary.hpp
+++ b/src/front/binary.hpp
@@ -57,6 +57,7 @@
     std::uint32_t peer = 0;  // IPv4 address in host byte order
     CallerActivity activity = CallerActivity::none;
     std::optional<Time> partial_since{};  // since when a message has been incomplete
+    OpenSetUpLimit set_up_limit{};
     UnknownReleasePace unknown_releases{};
 
     bool idle() const { return open.empty() && stream->unsent().empty() && !stream->input_paused(); }
