SIP: open INVITEs, transactions and datagrams of one peer are bounded

SipTransports.TheOpenInvitesOfOnePeerAreLimitedAndOthersAreServed and Sip.DatagramsOfOnePeerBeyondItsRateAreDroppedAndOthersAreAnswered name bounds that the code before did not have; they were not compiled there.

--- a/src/front/sip/front.cpp
+++ b/src/front/sip/front.cpp
@@ -65,6 +65,23 @@
 
 // ---- Requests
 
+bool SipFront::admits_invite(const Message& message, const Hop& from) {
+  if (!tag_of(message.header("To")).empty()) return true;  // within a dialog
+  if (open_invites_.size() >= remembered_peers_limit_) forget_quiet_peers();
+  OpenInvites& peer = open_invites_[peer_of(from)];
+  return peer.limit.admits(peer.count, loop_.now());
+}
+
+void SipFront::forget_quiet_peers() {
+  std::erase_if(open_invites_, [](const auto& item) { return item.second.count == 0; });
+  remembered_peers_limit_ = std::max(kMaxRememberedPeers, 2 * open_invites_.size());
+}
+
+void SipFront::close_invite(const Dialog& dialog) {
+  const auto found = open_invites_.find(dialog.peer);
+  if (found != open_invites_.end() && found->second.count > 0) --found->second.count;
+}
+
 void SipFront::on_request(const Message& message, ServerTransaction& transaction) {
   transaction.to_tag = new_tag();
   if (message.method() == "CANCEL") return handle_cancel(transaction);
@@ -141,7 +158,10 @@
   }
   transaction.subject = request.call;
   open_dialog(message, transaction, request.call);
-  dialogs_[request.call].merge_key = merge_key;
+  Dialog& dialog = dialogs_[request.call];
+  dialog.merge_key = merge_key;
+  dialog.peer = transaction.peer();
+  ++open_invites_[dialog.peer].count;
   by_merge_key_[merge_key] = request.call;
   core_.request(std::move(request), *this);
 }
@@ -228,6 +248,7 @@
   Dialog& dialog = found->second;
   if (dialog.resend_timer) loop_.cancel(*dialog.resend_timer);
   if (dialog.ack_timer) loop_.cancel(*dialog.ack_timer);
+  if (!dialog.answered) close_invite(dialog);
   by_dialog_id_.erase(dialog.id);
   by_merge_key_.erase(dialog.merge_key);
   dialogs_.erase(found);
@@ -238,6 +259,7 @@
   ServerTransaction* const invite = dialog ? transactions_.find(dialog->invite_key) : nullptr;
   if (!invite) return core_.release(call, cause::kTemporary);
   dialog->answered = true;
+  close_invite(*dialog);
   std::string headers = contact(dialog->invite_hop.kind) + kAllow;
   if (!description.empty()) headers += "Content-Type: application/sdp\r\n";
   transactions_.respond(*invite, 200, headers, description);
--- a/src/front/sip/front.hpp
+++ b/src/front/sip/front.hpp
@@ -7,6 +7,7 @@
 #include <unordered_map>
 
 #include "core/calls.hpp"
+#include "core/peer_limits.hpp"
 #include "front/sip/transactions.hpp"
 
 namespace quartzarch::sip {
@@ -50,6 +51,7 @@
     std::string routes{};                      // as Route header lines
     std::string first_hop{};                   // the URI that requests to the peer are sent to
     Hop invite_hop{};                          // where the INVITE came from
+    PeerKey peer{};                            // that sent it
     unsigned long invite_cseq = 0, remote_cseq = 0, local_cseq = 0;
     bool answered = false;
     bool acknowledged = false;
@@ -58,6 +60,13 @@
     std::optional<Loop::TimerId> resend_timer{}, ack_timer{};
   };
 
+  // The INVITEs of one peer that have no final response.
+  struct OpenInvites {
+    std::size_t count = 0;
+    OpenSetUpLimit limit{};
+  };
+
+  bool admits_invite(const Message& message, const Hop& from) override;
   void on_request(const Message& message, ServerTransaction& transaction) override;
   void on_ack(const Message& message) override;
   void on_invite_retransmitted(ServerTransaction& transaction) override;
@@ -76,6 +85,10 @@
   void on_ack_timeout(CallId call);
   void send_bye(Dialog& dialog);
   void erase(CallId call);
+  // The INVITE of the dialog has its final response.
+  void close_invite(const Dialog& dialog);
+  // Forgets peers without an open INVITE.
+  void forget_quiet_peers();
   std::string new_tag();
   std::string contact(TransportKind kind) const;
   void fail_invite(CallId call, int status, const std::string& headers = {});
@@ -88,6 +101,10 @@
   Transactions transactions_;
   Transport transport_;
   std::unordered_map<CallId, Dialog> dialogs_;
+  // Peers that are remembered; beyond this those without an open INVITE are forgotten.
+  static constexpr std::size_t kMaxRememberedPeers = 4096;
+  std::map<PeerKey, OpenInvites> open_invites_;
+  std::size_t remembered_peers_limit_ = kMaxRememberedPeers;
   std::map<std::string, CallId> by_dialog_id_;
   std::map<std::string, CallId> by_merge_key_;
 };
--- a/src/front/sip/transactions.cpp
+++ b/src/front/sip/transactions.cpp
@@ -180,13 +180,26 @@
     return;
   }
   // At the limit of transactions the request is rejected without creating one.
-  if (size() >= max_transactions_) return respond_stateless(copy_request(message, from), 503);
+  const PeerKey peer = peer_of(from);
+  const bool admitted =
+      has_room(peer) && (message.method() != "INVITE" || user_.admits_invite(message, from));
+  if (!admitted) return respond_stateless(copy_request(message, from), 503);
   ServerTransaction& transaction = servers_[key];
+  ++transactions_of_[peer];
   transaction.key_ = key;
+  transaction.peer_ = peer;
   transaction.request_ = copy_request(message, from);
   user_.on_request(message, transaction);
 }
 
+// When few are left, a peer that holds most of them gets none.
+bool Transactions::has_room(const PeerKey& peer) const {
+  if (size() < max_transactions_ / 4 * 3) return true;
+  const auto found = transactions_of_.find(peer);
+  const std::size_t own = found == transactions_of_.end() ? 0 : found->second;
+  return size() < max_transactions_ && own < size() / 2;
+}
+
 void Transactions::respond_stateless(const RequestInfo& request, int status) {
   const std::string headers = status == 503 ? "Retry-After: 1\r\n" : "";
   transport_->send(request.reply_to, response_head(request, status, "unkept", headers, 0), {});
@@ -261,6 +274,7 @@
   if (found->second.resend_) loop_.cancel(*found->second.resend_);
   ServerTransaction terminated = std::move(found->second);
   servers_.erase(found);
+  if (const auto of = transactions_of_.find(terminated.peer_); --of->second == 0) transactions_of_.erase(of);
   user_.on_terminated(terminated);
 }
 
--- a/src/front/sip/transactions.hpp
+++ b/src/front/sip/transactions.hpp
@@ -36,6 +36,8 @@
  public:
   const std::string& key() const { return key_; }
   const RequestInfo& request() const { return request_; }
+  // That sent the request.
+  const PeerKey& peer() const { return peer_; }
   bool is_invite() const { return request_.method == "INVITE"; }
   bool answered() const { return state_ != State::proceeding; }
   // The tag in the To header of every response except 100.
@@ -48,6 +50,7 @@
   enum class State { proceeding, accepted, completed, confirmed };
 
   std::string key_{};
+  PeerKey peer_{};
   RequestInfo request_{};
   State state_ = State::proceeding;
   std::string head_{}, body_{};  // the last response
@@ -62,6 +65,8 @@
   class User {
    public:
     virtual ~User() = default;
+    // False if a new INVITE is to be rejected without a transaction, because the peer has too many open.
+    virtual bool admits_invite(const Message& message, const Hop& from) = 0;
     // A new request, never a retransmission.
     virtual void on_request(const Message& message, ServerTransaction& transaction) = 0;
     // An ACK for a 2xx; an ACK for a failure response is handled by its transaction.
@@ -112,6 +117,8 @@
   void receive_request(const Message& message, const Hop& from);
   void receive_response(const Message& message);
   void receive_ack(const Message& message, const std::string& key);
+  // Whether there is room for a further transaction of this peer.
+  bool has_room(const PeerKey& peer) const;
   void respond_stateless(const RequestInfo& request, int status);
   void send(const ServerTransaction& transaction);
   void resend_failure_response(const std::string& key);
@@ -127,6 +134,7 @@
   std::size_t max_transactions_;
   Transport* transport_ = nullptr;
   std::map<std::string, ServerTransaction> servers_;
+  std::map<PeerKey, std::size_t> transactions_of_;  // server transactions of each peer
   std::map<std::string, Client> clients_;
   std::uint64_t last_branch_ = 0;
 };
--- a/src/front/sip/transport.cpp
+++ b/src/front/sip/transport.cpp
@@ -13,7 +13,14 @@
 constexpr std::size_t kMaxHeadBytes = 16 * 1024;
 constexpr std::size_t kMaxBodyBytes = 16 * 1024;
 constexpr Duration kConnectTimeout = std::chrono::seconds(4);
-constexpr int kMaxDatagramsPerPass = 64;
+constexpr int kMaxDatagramsPerPass = 512;
+// Datagrams that are parsed, in a pass of the loop.
+constexpr int kMaxMessagesPerPass = 64;
+constexpr std::size_t kMaxDatagramBytes = 65536;
+// Peers over UDP whose datagrams are counted; beyond this the counts begin anew.
+constexpr std::size_t kMaxCountedPeers = 4096;
+// Asked for as the UDP socket's receive buffer; the system may grant less.
+constexpr int kUdpReceiveBufferBytes = 4 * 1024 * 1024;
 // From this number on, messages that have been written in full are removed from Connection::unconfirmed.
 constexpr std::size_t kUnconfirmedPruneSize = 64;
 // A connection is closed if the rest of a message, or the first message of an accepted connection, takes
@@ -28,6 +35,11 @@
 
 }  // namespace
 
+PeerKey peer_of(const Hop& hop) {
+  if (hop.reliable()) return {true, hop.connection};
+  return {false, std::uint64_t{hop.address.sin_addr.s_addr} << 16 | hop.address.sin_port};
+}
+
 const char* transport_name(TransportKind kind) {
   return kind == TransportKind::udp ? "UDP" : kind == TransportKind::tcp ? "TCP" : "TLS";
 }
@@ -39,6 +51,7 @@
     : loop_(loop), log_(log), max_connections_(max_connections), on_message_(std::move(on_message)) {
   if (listening.udp) {
     udp_ = bind_udp(*listening.udp);
+    ::setsockopt(udp_.get(), SOL_SOCKET, SO_RCVBUF, &kUdpReceiveBufferBytes, sizeof kUdpReceiveBufferBytes);
     loop_.watch(*this, Priority::callers);
   }
   if (listening.tcp) {
@@ -81,14 +94,22 @@
 
 // ---- UDP
 
+bool Transport::admits_datagram(const Hop& from) {
+  if (datagrams_.size() > kMaxCountedPeers) datagrams_.clear();
+  const auto [peer, is_new] = datagrams_.try_emplace(peer_of(from), kDatagramsPerSecond, kDatagramBurst);
+  return peer->second.take(loop_.now());
+}
+
 void Transport::on_ready(short) {
-  for (int i = 0; i < kMaxDatagramsPerPass; ++i) {
-    std::array<char, 65536> bytes;
+  for (int read = 0, parsed = 0; read < kMaxDatagramsPerPass && parsed < kMaxMessagesPerPass; ++read) {
+    std::array<char, kMaxDatagramBytes> bytes;
     Hop from;
     socklen_t size = sizeof from.address;
     const ssize_t count = ::recvfrom(udp_.get(), bytes.data(), bytes.size(), 0,
                                      reinterpret_cast<sockaddr*>(&from.address), &size);
     if (count < 0) return;
+    if (!admits_datagram(from)) continue;
+    ++parsed;
     const std::string_view datagram(bytes.data(), static_cast<std::size_t>(count));
     // Only line breaks: keep-alive of a NAT binding.
     if (datagram.find_first_not_of("\r\n") == std::string_view::npos) continue;
--- a/src/front/sip/transport.hpp
+++ b/src/front/sip/transport.hpp
@@ -6,6 +6,7 @@
 #include <memory>
 #include <optional>
 
+#include "core/peer_limits.hpp"
 #include "front/sip/message.hpp"
 #include "front/sip/tls.hpp"
 #include "log.hpp"
@@ -24,6 +25,15 @@
   bool reliable() const { return kind != TransportKind::udp; }
 };
 
+// The peer behind a hop, for the bounds of what one peer can ask for: its connection or, over UDP, its
+// address and port.
+struct PeerKey {
+  bool reliable = false;
+  std::uint64_t id = 0;
+  auto operator<=>(const PeerKey&) const = default;
+};
+PeerKey peer_of(const Hop& hop);
+
 // The addresses to listen on; a transport without one is off.
 struct ListenConfig {
   std::optional<sockaddr_in> udp{}, tcp{}, tls{};
@@ -94,6 +104,9 @@
     std::optional<Time> incomplete_since{};
   };
 
+  // False if the peer sends more datagrams than are handled: this one is dropped, as the network may do.
+  bool admits_datagram(const Hop& from);
+
   int descriptor() const override { return udp_.get(); }
   short interest() const override { return POLLIN; }
   void on_ready(short events) override;
@@ -119,6 +132,7 @@
   std::size_t max_connections_;
   OnMessage on_message_;
   Fd udp_;
+  std::map<PeerKey, TokenBucket> datagrams_;  // of the peers heard since the last clean-up
   std::unique_ptr<TlsContext> tls_context_;
   std::unique_ptr<Listener> tcp_, tls_;
   std::optional<Loop::TimerId> certificate_timer_{};
--- a/tests/sip_test.cpp
+++ b/tests/sip_test.cpp
@@ -104,6 +104,46 @@
   }
 }
 
+// Guards against: one peer sends INVITEs of ever new ids, all of which wait at once, and others get their
+// answers late or never.
+TEST_P(SipTransports, TheOpenInvitesOfOnePeerAreLimitedAndOthersAreServed) {
+  const FrozenClock held;
+  Peer flooder = gateway(GetParam());
+  constexpr std::size_t kInvites = 450;
+  std::size_t rejected = 0;
+  for (std::size_t i = 0; i < kInvites; ++i) {
+    clock_offset += milliseconds(1);
+    std::string message = invite(flooder, GetParam());
+    message.replace(message.find("Call-ID: c1"), 11, "Call-ID: c" + std::to_string(1000 + i));
+    message.replace(message.find("bKi1"), 4, "bKi" + std::to_string(1000 + i));
+    flooder.send(message);
+    run_passes(1);
+    rejected += count(flooder.take_received(), "SIP/2.0 503");
+  }
+  EXPECT_EQ(planner->pending_answers(), kMaxOpenSetUps);
+  EXPECT_EQ(rejected, kInvites - kMaxOpenSetUps);
+  Peer other = gateway(GetParam());
+  other.send(invite(other, GetParam()));
+  wait_to_receive(other, "SIP/2.0 100");
+  EXPECT_EQ(planner->pending_answers(), kMaxOpenSetUps + 1);
+}
+
+// Guards against: the datagrams of one peer at full speed are all worked off, and those of others are lost.
+TEST_F(Sip, DatagramsOfOnePeerBeyondItsRateAreDroppedAndOthersAreAnswered) {
+  const FrozenClock held;
+  Peer flooder = gateway(TransportKind::udp);
+  std::size_t answered = 0;
+  for (int i = 0; i < 600; ++i) {
+    flooder.send(request(flooder, TransportKind::udp, "OPTIONS", 1, "o" + std::to_string(i)));
+    if (i % 50 == 49) run_passes(3);
+    answered += count(flooder.take_received(), "SIP/2.0 200");
+  }
+  EXPECT_EQ(answered, static_cast<std::size_t>(kDatagramBurst));
+  Peer other = gateway(TransportKind::udp);
+  other.send(request(other, TransportKind::udp, "OPTIONS", 1, "x1"));
+  wait_to_receive(other, "SIP/2.0 200");
+}
+
 // ---- Callers get the same results by the binary protocol and by SIP over UDP and TCP
 
 struct Outcome {
