Planner: a late word of a restart cuts only the calls of the process before

Cause: update_servers cut every call at the address and closed every connection to it. Change: calls answered on connections that came up after the start that the list names go on, as do those connections with their set-ups; calls that are cut on the list's word are released where they may still stand.

--- a/src/core/exchange.hpp
+++ b/src/core/exchange.hpp
@@ -18,6 +18,8 @@
     ServerId server{};
     Time sent_at{};
     bool dispatched = false;  // handed to the connections to the server
+    // Established: when the connection came up on which the answer arrived.
+    Time connected_at{};
     // The cause with which the server ended the call before its answer arrived; the answer is still awaited.
     std::optional<int> early_end_cause{};
   };
--- a/src/core/planner.cpp
+++ b/src/core/planner.cpp
@@ -62,11 +62,7 @@
 void Planner::update_servers(const ServerListUpdate& update) {
   server_list_known_ = true;
   const ServerInventory::Change change = server_inventory_.apply(update);
-  // Calls established at an address that has another process now, or none, are cut.
-  for (const ServerId& server : change.replaced) {
-    on_process_gone(server);
-    servers_.disconnect(server);
-  }
+  for (const ServerInventory::Replaced& replaced : change.replaced) on_process_replaced(replaced);
   for (const ServerEntry& entry : change.list.entries) {
     log_.line("list: server %s number %d %s", server_text(entry.id).c_str(), entry.number,
               entry.availability == Availability::ready      ? "in service"
@@ -349,7 +345,7 @@
       await_answer_of_ended_call(exchange, line.why);
       return SetUpOutcome::open;
     case Verdict::answered:
-      return handle_answer(exchange, std::move(line));
+      return handle_answer(exchange, std::move(line), origin);
     case Verdict::refused:
       attempt_ended(exchange, refusal_ending(line.why), cause_from_note(line.note), parse_load(line.load));
       return SetUpOutcome::settled;
@@ -367,7 +363,7 @@
   return SetUpOutcome::open;
 }
 
-SetUpOutcome Planner::handle_answer(Exchange& exchange, ServerLine line) {
+SetUpOutcome Planner::handle_answer(Exchange& exchange, ServerLine line, MessageOrigin origin) {
   const Exchange::Attempt attempt = *exchange.attempt;
   if (!exchange.answer_pending()) {
     // Its caller has left and will not use the call.
@@ -378,6 +374,7 @@
   clear_pending(exchange);
   if (admission_filter_) admission_filter_->answered(exchange.request(), loop_.now());
   counters_.served(exchange.request().call_class);
+  exchange.attempt->connected_at = origin.connected_at;
   exchange.answer(std::move(line.description));
   deliver(CallEstablished{line.call, attempt.number, attempt.server, loop_.now() - attempt.sent_at});
   if (!line.load.empty()) on_load_report(attempt.server, parse_load(line.load));
@@ -420,20 +417,33 @@
   deliver(ServerProbed{server, true, report});
 }
 
-std::vector<CallId> Planner::established_at(const ServerId& server) const {
+std::vector<CallId> Planner::established_at(const ServerId& server, std::optional<Time> before) const {
   std::vector<CallId> found;
   for (const auto& [call, exchange] : calls_) {
-    if (exchange.established() && exchange.attempt->server == server) found.push_back(call);
+    if (!exchange.established() || exchange.attempt->server != server) continue;
+    if (!before || exchange.attempt->connected_at < *before) found.push_back(call);
   }
   std::sort(found.begin(), found.end());
   return found;
 }
 
-void Planner::on_process_gone(const ServerId& server) {
-  const std::vector<CallId> cut = established_at(server);
-  if (cut.empty()) return;
-  log_.line("server %s: its process is gone, %zu calls cut", server_text(server).c_str(), cut.size());
-  for (const CallId call : cut) end_established(call, Ending::reset, cause::kTemporary, {});
+void Planner::on_process_gone(const ServerId& server) { cut_calls(server, established_at(server)); }
+
+void Planner::cut_calls(const ServerId& server, const std::vector<CallId>& calls) {
+  if (calls.empty()) return;
+  log_.line("server %s: its process is gone, %zu calls cut", server_text(server).c_str(), calls.size());
+  for (const CallId call : calls) end_established(call, Ending::reset, cause::kTemporary, {});
+}
+
+// The list may be late: the process that it tells of may have been running for a while, and have calls. These
+// came by connections that were up after its start. The others are cut, and released on connections that are
+// still there in case the list is wrong.
+void Planner::on_process_replaced(const ServerInventory::Replaced& replaced) {
+  const std::vector<CallId> cut = established_at(replaced.server, replaced.started);
+  for (const CallId call : cut) servers_.release(replaced.server, call, cause::kTemporary);
+  cut_calls(replaced.server, cut);
+  if (replaced.started) return servers_.disconnect_older(replaced.server, *replaced.started);
+  servers_.disconnect(replaced.server);
 }
 
 // Some calls may still be established there: they are released in case the server becomes reachable again.
--- a/src/core/planner.hpp
+++ b/src/core/planner.hpp
@@ -82,7 +82,11 @@
   void on_process_gone(const ServerId& server) override;
   void on_calls_unreachable(const ServerId& server, const std::vector<CallId>& calls) override;
   void on_offer_possible(const ServerId& server, CallId call) override;
-  std::vector<CallId> established_at(const ServerId& server) const;
+  // Calls there whose answer came on a connection that was up before `before`, if given.
+  std::vector<CallId> established_at(const ServerId& server, std::optional<Time> before = {}) const;
+  // The list says that the process at an address is gone, or that another one is there.
+  void on_process_replaced(const ServerInventory::Replaced& replaced);
+  void cut_calls(const ServerId& server, const std::vector<CallId>& calls);
 
   // The cases of on_call_message: a call that is not known here, one whose attempt is at another server, and
   // one whose attempt is at this server.
@@ -90,7 +94,7 @@
   void handle_other_server_message(const Exchange& exchange, const ServerId& server, const ServerLine& line);
   SetUpOutcome handle_attempt_message(Exchange& exchange, const ServerId& server, ServerLine line,
                                       MessageOrigin origin);
-  SetUpOutcome handle_answer(Exchange& exchange, ServerLine line);
+  SetUpOutcome handle_answer(Exchange& exchange, ServerLine line, MessageOrigin origin);
   void abandon_attempt(Exchange& exchange);
   void await_answer_of_ended_call(Exchange& exchange, int cause);
   // Gives an unanswered call that gets no answer from a server its final one: refused if no attempt was made,
--- a/src/core/server_inventory.cpp
+++ b/src/core/server_inventory.cpp
@@ -42,7 +42,7 @@
     if (old != before.end() && old->second.entry.availability != Availability::gone) {
       const bool other =
           gone || host->name != old->second.name || host->entry.started != old->second.entry.started;
-      if (other) change.replaced.push_back(address);
+      if (other) change.replaced.push_back({address, gone ? std::nullopt : host->entry.started});
     }
     ServerEntry entry = host ? host->entry : old->second.entry;
     if (gone) entry.availability = Availability::gone;
--- a/src/core/server_inventory.hpp
+++ b/src/core/server_inventory.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -28,9 +29,15 @@
 // gone.
 class ServerInventory {
  public:
+  // A server whose process is gone or was replaced.
+  struct Replaced {
+    ServerId server{};
+    // When the process started that is there now; absent: not known, or there is none.
+    std::optional<Time> started{};
+  };
   struct Change {
-    ServerList list{};                 // for the controller
-    std::vector<ServerId> replaced{};  // servers whose process is gone or was replaced
+    ServerList list{};  // for the controller
+    std::vector<Replaced> replaced{};
   };
   // Merges an update and returns what changed for each address it concerns.
   Change apply(const ServerListUpdate& update);
--- a/src/net/servers.cpp
+++ b/src/net/servers.cpp
@@ -195,16 +195,49 @@
   if (gone.replacement_timer) loop_.cancel(*gone.replacement_timer);
   for (Connection& connection : gone.connections) close_connection(gone, connection);
   for (Connection& connection : gone.retired) close_connection(gone, connection);
-  for (Connection& connection : gone.connections) {
-    for (const auto& [call, set_up] : connection.in_flight)
-      owner_.on_set_up_lost(server, call, set_up.attempt, SetUpLoss::sent);
+  for (const Connection& connection : gone.connections) report_lost(server, connection.in_flight);
+  report_lost(server, gone.queued);
+  // Releases of attempts at the process that was there concern no other one.
+  for (const CallId call : gone.refused_offers) owner_.on_offer_possible(server, call);
+}
+
+// A connection that came up after the start is one to the process that runs: its set-ups and calls go on.
+void Servers::disconnect_older(const ServerId& server, Time started) {
+  const auto found = servers_.find(server);
+  if (found == servers_.end()) return;
+  ServerState& state = found->second;
+  const auto is_newer = [started](const Connection& connection) {
+    return connection.up() && connection.connected_at >= started;
+  };
+  if (std::none_of(state.connections.begin(), state.connections.end(), is_newer)) return disconnect(server);
+  std::vector<std::map<CallId, SetUp>> lost;
+  for (Connection& connection : state.connections) {
+    if (!connection.up() || is_newer(connection)) continue;
+    close_connection(state, connection);
+    state.unread_releases.connection_ended(connection.id, loop_.now());
+    lost.push_back(std::move(connection.in_flight));
+    connection = {};
   }
-  for (const QueuedMessage& what : gone.queued) {
+  state.retired.remove_if([&](Connection& connection) {
+    if (connection.connected_at >= started) return false;
+    close_connection(state, connection);
+    return true;
+  });
+  const auto queued = std::exchange(state.queued, {});
+  for (const auto& in_flight : lost) report_lost(server, in_flight);
+  report_lost(server, queued);
+}
+
+void Servers::report_lost(const ServerId& server, const std::map<CallId, SetUp>& in_flight) {
+  for (const auto& [call, set_up] : in_flight)
+    owner_.on_set_up_lost(server, call, set_up.attempt, SetUpLoss::sent);
+}
+
+void Servers::report_lost(const ServerId& server, const std::vector<QueuedMessage>& queued) {
+  for (const QueuedMessage& what : queued) {
     if (what.is_offer)
       owner_.on_set_up_lost(server, what.offer.call, what.offer.attempt, SetUpLoss::unreachable);
   }
-  // Releases of attempts at the process that was there concern no other one.
-  for (const CallId call : gone.refused_offers) owner_.on_offer_possible(server, call);
 }
 
 void Servers::close_connection(ServerState& state, Connection& connection) {
@@ -357,6 +390,7 @@
   const ConnectionRef at = find_connection(stream);
   if (!at.state) return;
   at.connection->backoff = Duration{0};
+  at.connection->connected_at = loop_.now();
   at.state->connection_lost = false;
   at.state->ends.connection_up(at.connection->id, at.connection->begun_at, loop_.now());
   at.state->connect_timed_out = false;
@@ -396,6 +430,7 @@
   const CallId call = line.call;
   if (line.op == ServerOp::accept) note_answered(at, call);
   MessageOrigin origin;
+  origin.connected_at = at.connection->connected_at;
   for (const Connection& connection : at.state->connections)
     origin.set_up_is_out |= connection.in_flight.count(call) > 0;
   if (at.connection->in_flight.count(call) > 0) origin.connection = MessageConnection::own;
--- a/src/net/servers.hpp
+++ b/src/net/servers.hpp
@@ -37,6 +37,7 @@
 struct MessageOrigin {
   bool set_up_is_out = false;
   MessageConnection connection = MessageConnection::other;
+  Time connected_at{};  // when the connection that it came on was up
 };
 
 // What a server's message meant for the set-up in flight.
@@ -85,6 +86,8 @@
   void keep_connected(const ServerId& server);
   // Closes all connections to the server, whose process is gone or has been replaced.
   void disconnect(const ServerId& server);
+  // Closes those that came up before this time, when the process started that is there now.
+  void disconnect_older(const ServerId& server, Time started);
 
   // False while a release of an earlier attempt of the call may reach the server after a new set-up and end
   // it. on_offer_possible() then tells when that has changed.
@@ -136,6 +139,7 @@
     WritePosition messages_written = 0;
     std::deque<std::pair<Time, QueuedMessage>> recent_releases{};  // releases sent recently, oldest first
     Time begun_at{};                                               // when connecting began
+    Time connected_at{};                                           // when it came up
     Time last_received{};  // when the last complete line arrived, or connecting began
     // Send time of the first set-up that was abandoned after a later one had been answered (overtaken it).
     std::optional<Time> abandoned_since{};
@@ -206,6 +210,9 @@
   void lose_messages(ServerState& state, Connection& connection, const std::deque<Segment>& unsent);
   void schedule_replacement(ServerState& state);
   void close_connection(ServerState& state, Connection& connection);
+  // Reports what was in flight on a connection that has been closed, or queued, for a process that is gone.
+  void report_lost(const ServerId& server, const std::map<CallId, SetUp>& in_flight);
+  void report_lost(const ServerId& server, const std::vector<QueuedMessage>& queued);
   void check_connections();
   bool liveness_test_is_due(const ServerState& state) const;
   void check_liveness(ServerState& state);
