Connections: a read that brings much is followed by another before it is handled

Need: where the peer's socket still holds a part of what it wrote, the first read may find the end of the data and not the connection's end. Change: after a read of more than a pass's worth the next pass reads on first; a small read is handled at once as before.

--- a/src/net/stream.cpp
+++ b/src/net/stream.cpp
@@ -205,7 +205,9 @@
   if (pending_input() > had) last_used_ = loop_.now();
   peer_ended_ |= end.has_value();
   if (!peer_ended_) {
-    if (!socket_drained_ && may_read_ahead()) return;  // poll reports the rest at once
+    // More may follow, or the end: the peer's own socket may still hold a part of what it has written.
+    read_much_ = pending_input() - had > kMaxBytesPerPass;
+    if (read_much_ && may_read_ahead()) return deliver_in_next_pass();
     if (input_is_new_) deliver();
     return;
   }
@@ -258,11 +260,13 @@
 }
 
 void Stream::deliver_in_next_pass() {
-  delivery_scheduled_ = true;
+  if (std::exchange(delivery_scheduled_, true)) return;
   loop_.in_next_pass([this, alive_token = std::weak_ptr(alive_token_)] {
     if (alive_token.expired()) return;
     delivery_scheduled_ = false;
-    if (state_ == State::up) deliver();
+    if (state_ != State::up) return;
+    if (std::exchange(read_much_, false) && may_read_ahead()) return deliver_in_next_pass();
+    deliver();
   });
 }
 
--- a/src/net/stream.hpp
+++ b/src/net/stream.hpp
@@ -51,9 +51,9 @@
   // nothing is read from the peer until it has taken some.
   void limit_output(std::size_t bytes) { max_output_bytes_ = bytes; }
 
-  // Lets the connection read ahead: as long as more input waits in the socket than is handled in a pass, it
-  // is read (up to kMaxReadAheadBytes, and within the loop's budget) before the owner gets any of it. If the
-  // peer turns out to have ended the connection, the owner gets that input with peer_ended() set.
+  // Lets the connection read ahead: as long as a read brings more than is handled in a pass, the owner gets
+  // none of it and the next pass reads on, up to kMaxReadAheadBytes and within the loop's budget. If the peer
+  // turns out to have ended the connection, the owner gets that input with peer_ended() set.
   void read_ahead() { reads_ahead_ = true; }
 
   // Input for the owner, in on_data(); more of it may follow in later passes.
@@ -132,6 +132,7 @@
   bool reads_ahead_ = false;
   bool input_is_new_ = false;   // the owner has not been called since some was read
   bool socket_drained_ = true;  // as of the last read
+  bool read_much_ = false;      // the last read brought more than is handled in a pass
   bool peer_ended_ = false;
   bool delivery_scheduled_ = false;
   std::optional<Loop::TimerId> pause_timer_{};
