Link: the end of a call whose forwarder was just lost waits for it to come back

Callers could see: with two forwarders, a call that one of them had failed in a cut got a release by the other one, a second final answer; and with the memory of a lost link used again for a new one, only the forwarder of that one was told of the end.

Cause: the end went at once to all that are connected, before the lost forwarder's release could arrive, and the owner of a call was kept as a pointer to its link. Change: such an end is held for 0.6 s (1 s is allowed) and dropped by a release; the owner is cleared with the link.

--- a/src/link/link_server.cpp
+++ b/src/link/link_server.cpp
@@ -10,6 +10,18 @@
 constexpr std::size_t kMaxUndeliveredEnds = 10000;
 // Several within the time after which a forwarder takes its planner for silent (src/link/planners.cpp).
 constexpr Duration kHeartbeatInterval = std::chrono::milliseconds(250);
+// A forwarder that has lost its link is back within this time, if it runs. With a heartbeat it is less than
+// the 1 s within which a caller must learn of an end.
+constexpr Duration kForwarderReturnTime = std::chrono::milliseconds(600);
+
+// The cause in a call_ended message.
+int end_cause(const Segment& segment) {
+  LinkMessage message;
+  std::size_t length = 0;
+  const std::string bytes = segment.head + segment.body;
+  return decode(bytes, message, length) == DecodeResult::complete ? static_cast<int>(message.number(0))
+                                                                  : cause::kTemporary;
+}
 
 }  // namespace
 
@@ -30,9 +42,9 @@
 }
 
 bool LinkServer::idle() const {
-  return std::all_of(forwarders_.begin(), forwarders_.end(), [](const auto& item) {
-    return item.second.unanswered.empty() && item.second.stream->unsent().empty();
-  });
+  return held_ends_.empty() && std::all_of(forwarders_.begin(), forwarders_.end(), [](const auto& item) {
+           return item.second.unanswered.empty() && item.second.stream->unsent().empty();
+         });
 }
 
 Segment LinkServer::readiness_message() const {
@@ -50,6 +62,7 @@
 
 void LinkServer::send_heartbeats() {
   send_readiness();
+  send_held_ends();
   heartbeat_timer_ = loop_.at(loop_.now() + kHeartbeatInterval, [this] { send_heartbeats(); });
 }
 
@@ -104,7 +117,7 @@
   // Of a forwarder that has gone nobody waits for the answer.
   if (calls_.count(message.call) > 0 || from.stream->peer_ended()) return Handled::done;
   from.unanswered.insert(message.call);
-  calls_[message.call] = from.stream.get();
+  calls_[message.call] = {from.stream.get(), {}};
   core_.request(std::move(*request), *this);
   return Handled::done;
 }
@@ -149,7 +162,25 @@
       calls_.erase(message.call);
       core_.release(message.call, cause::kTemporary);
     } else if (message.type == MessageType::call_ended) {
-      send_end_to_all(segment);
+      hold_end(message.call, end_cause(segment), loop_.now());
+    }
+  }
+  for (auto& [call, owner] : calls_) {
+    if (owner.link == &stream) owner = {nullptr, loop_.now()};
+  }
+}
+
+void LinkServer::hold_end(CallId call, int cause, Time lost_at) {
+  calls_[call] = {nullptr, lost_at};
+  held_ends_.push_back({call, cause, lost_at + kForwarderReturnTime});
+}
+
+void LinkServer::send_held_ends() {
+  for (const HeldEnd& end : std::exchange(held_ends_, {})) {
+    if (end.due > loop_.now()) {
+      held_ends_.push_back(end);
+    } else if (calls_.erase(end.call) > 0) {  // else released meanwhile
+      send_end_to_all(encode(MessageType::call_ended, end.call, {std::to_string(end.cause)}));
     }
   }
 }
@@ -157,7 +188,7 @@
 LinkServer::Forwarder* LinkServer::forwarder_of(CallId call) {
   const auto found = calls_.find(call);
   if (found == calls_.end()) return nullptr;
-  const auto forwarder = forwarders_.find(found->second);
+  const auto forwarder = forwarders_.find(found->second.link);
   return forwarder == forwarders_.end() ? nullptr : &forwarder->second;
 }
 
@@ -186,6 +217,9 @@
 void LinkServer::call_ended(CallId call, int cause) {
   Segment segment = encode(MessageType::call_ended, call, {std::to_string(cause)});
   if (forwarder_of(call)) return send_result(call, std::move(segment), false);
+  const auto found = calls_.find(call);
+  if (found != calls_.end() && loop_.now() - found->second.lost_at < kForwarderReturnTime)
+    return hold_end(call, cause, found->second.lost_at);
   calls_.erase(call);
   send_end_to_all(std::move(segment));
 }
--- a/src/link/link_server.hpp
+++ b/src/link/link_server.hpp
@@ -23,7 +23,7 @@
   ~LinkServer() override;
 
   sockaddr_in address() const { return bound_address(acceptor_.fd()); }
-  // True if no call is unanswered and all messages have been written.
+  // True if no call is unanswered, no end is held back and all messages have been written.
   bool idle() const;
   // Tells the forwarders whether this planner accepts new calls, if that has changed. It is also repeated as
   // a heartbeat.
@@ -43,6 +43,20 @@
     UnknownReleasePace unknown_releases{kLinkReleaseFactor};
   };
 
+  // The link that a call came by; null: it is lost, since `lost_at`. A later link may have the same address
+  // in memory, so the pointer is not kept.
+  struct CallOwner {
+    const Stream* link = nullptr;
+    Time lost_at{};
+  };
+  // The end of a call whose forwarder has just been lost: if that comes back it may release the call, which
+  // it has failed then, and its caller must not be told of the end by another forwarder.
+  struct HeldEnd {
+    CallId call = 0;
+    int cause = 0;
+    Time due{};
+  };
+
   int descriptor() const override { return acceptor_.fd().get(); }
   short interest() const override { return acceptor_.paused() ? 0 : POLLIN; }
   void on_ready(short events) override;
@@ -63,6 +77,8 @@
   Segment readiness_message() const;
   void send_readiness();
   void send_heartbeats();
+  void hold_end(CallId call, int cause, Time lost_at);
+  void send_held_ends();
   // Sends the end of a call whose forwarder is not connected to all that are, or to the next one.
   void send_end_to_all(Segment segment);
 
@@ -71,7 +87,8 @@
   CallService& core_;
   Acceptor acceptor_;
   std::map<const Stream*, Forwarder> forwarders_;
-  std::unordered_map<CallId, const Stream*> calls_;
+  std::unordered_map<CallId, CallOwner> calls_;
+  std::deque<HeldEnd> held_ends_;  // in the order in which they came
   // The call_ended messages for the next forwarder that connects.
   std::deque<Segment> undelivered_ends_;
   bool announced_ready_ = false;
--- a/tests/link_test.cpp
+++ b/tests/link_test.cpp
@@ -80,6 +80,45 @@
   wait_to_receive(other, binary(12, 0xaa, {{208, "\x10"}}));
 }
 
+// Guards against: a forwarder has failed a call while it was cut off, and another one tells the caller of the
+// call's end. An end whose forwarder does not come back is told by the others within 1 s.
+TEST_F(ForwarderAndPlanner, AnEndWaitsForItsForwarderToComeBackBeforeOthersTellIt) {
+  const FrozenClock held;
+  const auto request = [this](CallId call) {
+    Request made;
+    made.call = call;
+    made.call_class = "voice";
+    made.description = "d";
+    made.received_at = loop.now();
+    const Segment segment = link::encode(made, loop.now());
+    return segment.head + segment.body;
+  };
+  const auto end_of = [](CallId call) {
+    return link::encode(link::MessageType::call_ended, call, {"16"}).head;
+  };
+  Peer lost = Peer::connect(link_server->address()), other = Peer::connect(link_server->address());
+  for (const auto& [call, digits] :
+       {std::pair{CallId{0xaa}, "00000000000000aa"}, {0xbb, "00000000000000bb"}}) {
+    lost.send(request(call));
+    wait_to_receive(server, digits);
+    server.send(line("accept", digits, "\"desc\":\"s\""));
+  }
+  run_passes();
+  lost.reset();
+  run_passes();
+  for (const std::string digits : {"00000000000000aa", "00000000000000bb"})
+    server.send(line("end", digits, "\"why\":16"));
+  run_passes();
+  Peer back = Peer::connect(link_server->address());
+  back.send(link::encode(link::MessageType::release, 0xaa, {"41"}).head);
+  pass_time(milliseconds(500), milliseconds(50));
+  EXPECT_EQ(count(other.received(), end_of(0xbb)), 0u);
+  pass_time(milliseconds(450), milliseconds(50));
+  EXPECT_EQ(count(other.received(), end_of(0xbb)), 1u);
+  EXPECT_EQ(count(back.received(), end_of(0xbb)), 1u);
+  EXPECT_EQ(count(other.received() + back.received(), end_of(0xaa)), 0u);
+}
+
 TEST_F(ForwarderAndPlanner, AStoppingPlannerGetsNoNewCallsAndAnswersPendingOnes) {
   Peer gateway = connect_caller();
   gateway.send(setup(0xbb, "d"));
