Connections: output that is not read counts with what its messages take in memory

Cause: the bound of unread output counted the text of queued messages only, and a short one takes several times that. Change: a queued message counts with its own size.

AbusivePeer.ShortRepliesThatNobodyReadsAreCountedWithTheirOverhead was run with the change taken out: 181 messages were queued where 101 fit.

--- a/src/net/stream.cpp
+++ b/src/net/stream.cpp
@@ -30,6 +30,11 @@
 // Pieces per writev call; a segment takes up to two.
 constexpr std::size_t kMaxIovecs = 64;
 
+// What a queued segment takes in memory; of many short ones that is mostly the segment itself.
+std::size_t memory_of(const Segment& segment) {
+  return sizeof segment + segment.head.size() + segment.body.size();
+}
+
 // Makes the socket non-blocking and close-on-exec and turns off Nagle's algorithm.
 void configure_socket(int fd) {
   ::fcntl(fd, F_SETFL, ::fcntl(fd, F_GETFL) | O_NONBLOCK);
@@ -98,7 +103,7 @@
   if (state_ == State::dead || sending_stopped_) return;
   last_used_ = loop_.now();
   if (output_.empty()) last_written_ = loop_.now();
-  queued_bytes_ += segment.head.size() + segment.body.size();
+  queued_bytes_ += memory_of(segment);
   output_.push_back(std::move(segment));
   flush_at_pass_end();
 }
@@ -121,7 +126,7 @@
   const auto found = std::find_if(first_unwritten, output_.end(),
                                   [tag](const Segment& segment) { return segment.tag == tag; });
   if (found == output_.end()) return false;
-  queued_bytes_ -= found->head.size() + found->body.size();
+  queued_bytes_ -= memory_of(*found);
   output_.erase(found);
   return true;
 }
@@ -330,7 +335,7 @@
       const std::size_t size = output_.front().head.size() + output_.front().body.size();
       if (front_bytes_written_ < size) break;
       front_bytes_written_ -= size;
-      queued_bytes_ -= size;
+      queued_bytes_ -= memory_of(output_.front());
       output_.pop_front();
     }
   }
--- a/src/net/stream.hpp
+++ b/src/net/stream.hpp
@@ -47,8 +47,8 @@
   Stream(Loop& loop, const sockaddr_in& to, Duration timeout, Owner& owner, Priority priority);
   ~Stream() override;
 
-  // Bounds the output queued for the peer: beyond `bytes` the connection is dropped, and beyond half of it
-  // nothing is read from the peer until it has taken some.
+  // Bounds the memory of the output queued for the peer: beyond `bytes` the connection is dropped, and beyond
+  // half of it nothing is read from the peer until it has taken some.
   void limit_output(std::size_t bytes) { max_output_bytes_ = bytes; }
 
   // Lets the connection read ahead: as long as a read brings more than is handled in a pass, the owner gets
--- a/tests/abusive_peer_test.cpp
+++ b/tests/abusive_peer_test.cpp
@@ -142,5 +142,23 @@
   EXPECT_EQ(gateway.received(), "");
 }
 
+// An owner that handles nothing.
+class NoOwner : public Stream::Owner {
+ public:
+  void on_data(Stream&) override {}
+  void on_disconnected(Stream&, DisconnectReason) override {}
+};
+
+// Guards against: of replies that nobody reads only the text was counted, and many short ones took several
+// times the memory of their bound (the control connection, 294 MB in 8 connections).
+TEST_F(AbusivePeer, ShortRepliesThatNobodyReadsAreCountedWithTheirOverhead) {
+  Listener peer;
+  NoOwner owner;
+  Stream stream(loop, peer.address(), milliseconds(500), owner, Priority::callers);
+  stream.limit_output(200 * sizeof(Segment));
+  for (int i = 0; i < 2000 && stream.accepts_input(); ++i) stream.send({std::string(40, 'r'), {}, 0});
+  EXPECT_LE(stream.unsent().size(), 101u);
+}
+
 }  // namespace
 }  // namespace quartzarch::test
