Connections: nothing waits for output once all input is handled

Read again: after a peer had taken no answers and all its input was handled, each flush asked for one more pass. No change for callers. Result: AbusivePeer tests pass (8).

--- a/src/net/stream.cpp
+++ b/src/net/stream.cpp
@@ -257,12 +257,13 @@
 }
 
 void Stream::deliver() {
-  if (delivery_scheduled_ || pause_timer_ || pending_input() == 0) return;
-  waits_for_output_ = reads_ahead_ && !accepts_input();
+  if (delivery_scheduled_ || pause_timer_) return;
+  waits_for_output_ = reads_ahead_ && !accepts_input() && pending_input() > 0;
+  if (pending_input() == 0) return;
   if (waits_for_output_) return;  // flush() goes on with it
   offer_input(reads_ahead_ ? kMaxBytesPerPass : pending_input());
   if (state_ != State::up) return;
-  waits_for_output_ = reads_ahead_ && !accepts_input();
+  waits_for_output_ = reads_ahead_ && !accepts_input() && pending_input() > 0;
   if (reads_ahead_ && pending_input() > offered_ && !pause_timer_) deliver_in_next_pass();
   release_consumed();
 }
