--- a/tests/replaced_process_test.cpp
+++ b/tests/replaced_process_test.cpp
@@ -73,5 +73,40 @@
   EXPECT_EQ(count(server.received(), "\"end\",\"call\":\"00000000000000aa\""), 1u);
 }
 
+// The old and the new process of an upgrade, both of which serve callers for a while.
+class TwoProcesses : public Program {
+ protected:
+  TwoProcesses() : Program([](InstanceSettings& start) { settings() = start; }) {
+    open_server();
+    new_planner = std::make_unique<Planner>(loop, log, settings(), 2, Planner::Capacity{});
+    new_front = std::make_unique<BinaryFront>(loop, log, *new_planner, any_port(), 64, 1 << 20);
+    new_planner->update_servers({1, true, {host(listener, 0)}});
+    wait_until([this] { return static_cast<bool>(server_of_new = listener.accept()); }, "its connection");
+  }
+  // Those of both processes.
+  static InstanceSettings& settings() {
+    static InstanceSettings both;
+    return both;
+  }
+
+  std::unique_ptr<Planner> new_planner;
+  std::unique_ptr<BinaryFront> new_front;
+  Peer server_of_new;
+};
+
+// Guards against: an id whose caller has left during its attempt comes to the other process of an upgrade,
+// and runs twice.
+TEST_F(TwoProcesses, AnIdThatTheOldOneHasOfferedIsNotOfferedByTheNewOne) {
+  Peer caller = connect_caller();
+  caller.send(setup(0xaa, "d"));
+  wait_to_receive(server, "\"offer\"");
+  caller.close();
+  wait_to_receive(server, "\"end\"");
+  Peer again = Peer::connect(new_front->address());
+  again.send(setup(0xaa, "d"));
+  run_passes(60);
+  EXPECT_EQ(count(server_of_new.received(), "\"offer\""), 0u);
+}
+
 }  // namespace
 }  // namespace quartzarch::test
