Binary front: ends of calls wait for a caller, not spent on a connection that only tests

No gateway was ever told, and the calls were left standing; nor was a gateway told that was connected and only listened.

Change: an end is delivered only to a connection that has brought a set-up or a release (core/undelivered_ends, pure). Until one comes it waits, 30 s at most and 10,000 ends. Connections that may be a caller's get copies: silent ones after 1 s and before they are closed, those that only test 7.5 s after the end came. In a stop the copies go out once no request can arrive, so that the stop does not wait. A set-up marks its connection as a caller's when it comes, no longer when it is answered.

--- a/src/front/binary.cpp
+++ b/src/front/binary.cpp
@@ -37,7 +37,6 @@
 constexpr std::size_t kLengthBytes = 2;  // the length prefix, which does not count itself
 constexpr std::size_t kHeadBytes = 9;    // type (1 byte) and call id (8 bytes)
 constexpr std::size_t kMaxMessageBytes = 16 * 1024;
-constexpr std::size_t kMaxUndeliveredReleases = 10000;
 // A connection without a complete message after this time is closed; callers rely on the close within 3 s.
 constexpr Duration kFirstMessageTimeout = std::chrono::milliseconds(2000);
 // No message takes longer than this in transit, neither the rest of a partial one nor output for a caller.
@@ -47,6 +46,11 @@
 // A caller that only sent tests has no call that it would use the connection for again.
 constexpr Duration kIdleTimeoutAfterTest = std::chrono::seconds(3);
 constexpr Duration kSweepInterval = std::chrono::milliseconds(250);
+// Both the load balancer's tests and callers' set-ups come as soon as their connection is up: a connection
+// that says nothing for longer may belong to a caller that only listens.
+constexpr Duration kListeningAfter = std::chrono::seconds(1);
+// Between two batches of ends of calls for a connection that takes no more at once.
+constexpr Duration kEndBatchInterval = std::chrono::milliseconds(10);
 // Largest value of a routing hint that is accepted.
 constexpr double kMaxHint = 1e6;
 
@@ -173,6 +177,7 @@
   loop_.remove_reclaimer(static_cast<const Loop::DescriptorReclaimer&>(*this));
   loop_.unwatch(static_cast<IoHandler&>(*this));
   loop_.cancel(sweep_timer_);
+  if (ends_timer_) loop_.cancel(*ends_timer_);
   for (auto& [stream, connection] : connections_) connection.stream->close();
 }
 
@@ -195,10 +200,9 @@
 }
 
 bool BinaryFront::idle() const {
-  // An undelivered release waits for a caller to connect; once this no longer listens and has no connection,
-  // none will.
+  // An undelivered end waits for a caller; once this no longer listens and has no connection, none will come.
   const bool no_caller_left = !acceptor_.fd() && connections_.empty();
-  return (undelivered_releases_.empty() || no_caller_left) &&
+  return (undelivered_ends_.empty() || no_caller_left) &&
          std::all_of(connections_.begin(), connections_.end(),
                      [](const auto& item) { return item.second.idle() && !item.second.partial_since; });
 }
@@ -279,6 +283,9 @@
   const auto found = connections_.find(stream);
   if (found == connections_.end()) return false;  // the peer had closed it
   if (!found->second.idle() || found->second.stream->last_used() != before) return true;
+  // It may be the connection of a caller that only listens.
+  if (found->second.activity == CallerActivity::none)
+    copy_undelivered_ends(found->second, undelivered_ends_.newest());
   close(found, why);
   return false;
 }
@@ -327,7 +334,8 @@
   while (connections_.size() > max_connections_ && evict_one()) {
   }
   log_held_connections();
-  send_undelivered_releases();
+  drop_expired_ends();
+  offer_undelivered_ends();
   const Duration every = drain_ ? drain_->sweep_interval(loop_.now(), kSweepInterval) : kSweepInterval;
   sweep_timer_ = loop_.at(loop_.now() + every, [this] { sweep(); });
 }
@@ -467,6 +475,7 @@
     log_.line("caller: a set-up with a figure out of range or without a description, failed");
     return reject_setup(from, call);
   }
+  mark_as_caller(from);
   if (!from.set_up_limit.admits(from.open.size(), loop_.now())) return refuse_setup(from, call);
   from.open.insert(call);
   calls_[call] = from.stream.get();
@@ -499,6 +508,8 @@
     if (code == Code::cause && value.size() == 1) cause = static_cast<std::uint8_t>(value[0]);
   }
   from.stream->send(Message(Type::release_ack, call).finish(tag(Kind::other)));
+  if (!undelivered_ends_.empty()) undelivered_ends_.forget(call);
+  mark_as_caller(from);
   Connection* const owner = owner_of(call);
   const bool open = owner && owner->open.count(call) > 0;
   // An established call may be released on any connection, an open set-up only on its own.
@@ -557,21 +568,23 @@
   to->stream->send(Message(Type::release, call).put_cause(cause).finish(tag(Kind::other)));
 }
 
-// Sends the release on the call's own connection, else on that of the most trusted caller; if no connected
-// caller has sent a set-up yet, the next sweep sends it.
+// Tells the end on the call's own connection, else on that of the most trusted caller; if none is known, it
+// waits for one.
 void BinaryFront::call_ended(CallId call, int cause) {
   Connection* to = owner_of(call);
   calls_.erase(call);
   if (!to) to = most_trusted();
-  Segment segment = Message(Type::release, call).put_cause(cause).finish(tag(Kind::over));
-  if (to && to->activity >= CallerActivity::requested) {
-    to->stream->send(std::move(segment));
-  } else if (undelivered_releases_.size() < kMaxUndeliveredReleases) {
-    undelivered_releases_.push_back(std::move(segment));
-  }
+  if (to && to->is_caller()) return send_end(*to, call, cause);
+  if (undelivered_ends_.empty()) log_.line("caller: no caller is known, ends of calls wait for one");
+  if (!undelivered_ends_.add(call, cause, loop_.now()))
+    log_.line("caller: too many ends of calls wait for a caller, one is not told");
+}
+
+void BinaryFront::send_end(Connection& to, CallId call, int cause) {
+  to.stream->send(Message(Type::release, call).put_cause(cause).finish(tag(Kind::over)));
 }
 
-// The caller with the most advanced activity; among equals the one used last.
+// The connection with the most advanced activity; among equals the one used last.
 BinaryFront::Connection* BinaryFront::most_trusted() {
   Connection* best = nullptr;
   const auto rank = [](const Connection& of) { return std::pair(of.activity, of.stream->last_used()); };
@@ -581,12 +594,69 @@
   return best;
 }
 
-// Until the sweep no better caller has connected, so the releases go to the most trusted one of those
-// connected.
-void BinaryFront::send_undelivered_releases() {
-  if (undelivered_releases_.empty() || connections_.empty()) return;
-  Connection* const to = most_trusted();
-  for (Segment& segment : std::exchange(undelivered_releases_, {})) to->stream->send(std::move(segment));
+// ---- Ends of calls without a known caller
+
+void BinaryFront::mark_as_caller(Connection& connection) {
+  connection.activity = std::max(connection.activity, CallerActivity::requested);
+  if (!undelivered_ends_.empty() && !connection.stream->peer_ended()) offer_undelivered_ends();
+}
+
+// A caller is told all that waits, which is then delivered: any connection from callers will do (protocol
+// page). Others get copies, so that nothing is lost to a connection that is no caller's.
+void BinaryFront::offer_undelivered_ends() {
+  if (undelivered_ends_.empty()) return;
+  Connection* const best = most_trusted();
+  bool all_taken = true;
+  if (best && best->is_caller()) {
+    all_taken = deliver_undelivered_ends(*best);
+  } else {
+    for (auto& [stream, connection] : connections_)
+      all_taken &= copy_undelivered_ends(connection, due_copies(connection));
+  }
+  if (all_taken && no_more_callers_) undelivered_ends_.clear();
+  if (all_taken || ends_timer_) return;
+  ends_timer_ = loop_.at(loop_.now() + kEndBatchInterval, [this] {
+    ends_timer_.reset();
+    offer_undelivered_ends();
+  });
+}
+
+bool BinaryFront::deliver_undelivered_ends(Connection& to) {
+  const std::size_t waiting = undelivered_ends_.size();
+  while (!undelivered_ends_.empty() && to.stream->accepts_input()) {
+    const UndeliveredEnd& end = undelivered_ends_.oldest();
+    if (end.number > to.last_copied_end) send_end(to, end.call, end.cause);
+    undelivered_ends_.remove_oldest();
+  }
+  log_.line("caller: %zu ends of calls told that waited for a caller", waiting - undelivered_ends_.size());
+  return undelivered_ends_.empty();
+}
+
+// A copy that cannot be sent is not sent elsewhere: the end still waits for a caller.
+bool BinaryFront::copy_undelivered_ends(Connection& to, EndNumber up_to) {
+  for (const UndeliveredEnd* end = undelivered_ends_.after(to.last_copied_end); end && end->number <= up_to;
+       end = undelivered_ends_.after(to.last_copied_end)) {
+    if (!to.stream->accepts_input()) return false;
+    to.stream->send(Message(Type::release, end->call).put_cause(end->cause).finish(tag(Kind::other)));
+    to.last_copied_end = end->number;
+  }
+  return true;
+}
+
+EndNumber BinaryFront::due_copies(const Connection& to) const {
+  if (no_more_callers_) return undelivered_ends_.newest();
+  const bool listens = to.activity == CallerActivity::none && loop_.now() - to.accepted_at >= kListeningAfter;
+  return listens ? undelivered_ends_.newest() : undelivered_ends_.newest_overdue(loop_.now());
+}
+
+void BinaryFront::stop_waiting_for_callers() {
+  no_more_callers_ = true;
+  offer_undelivered_ends();
+}
+
+void BinaryFront::drop_expired_ends() {
+  const std::size_t dropped = undelivered_ends_.drop_expired(loop_.now());
+  if (dropped > 0) log_.line("caller: %zu ends of calls dropped, no caller came", dropped);
 }
 
 }  // namespace quartzarch
--- a/src/front/binary.hpp
+++ b/src/front/binary.hpp
@@ -2,7 +2,6 @@
 // connections, passes their set-ups and releases to the core and writes the answers.
 #pragma once
 
-#include <deque>
 #include <map>
 #include <memory>
 #include <set>
@@ -11,6 +10,7 @@
 #include "core/calls.hpp"
 #include "core/drain.hpp"
 #include "core/peer_limits.hpp"
+#include "core/undelivered_ends.hpp"
 #include "log.hpp"
 #include "net/stream.hpp"
 
@@ -34,8 +34,12 @@
   // Follows the drain state: while it drains, idle connections are closed as it says. `drain` must outlive
   // this.
   void follow_drain(const Drain& drain) { drain_ = &drain; }
-  // No set-up is unanswered and no output or partial message is pending.
+  // No set-up is unanswered, no end of a call waits for a caller that may still come, and no output or
+  // partial message is pending.
   bool idle() const;
+  // Called in each pass of a stop from the time on when no further caller comes: ends of calls that wait for
+  // one go to the connections that there are.
+  void stop_waiting_for_callers();
   // Last step of a stop: shuts down the sending side of all connections. Messages that arrive afterwards are
   // ignored.
   void end_connections();
@@ -47,8 +51,9 @@
   void call_ended(CallId call, int cause) override;
 
  private:
-  // What the caller has done on this connection so far. Releases whose connection is gone go to the
-  // connection with the most advanced activity: requested a call, or was served one.
+  // What the peer has done on this connection so far. It is a caller's once it has sent a set-up or a
+  // release; the load balancer in front only tests. The end of a call whose connection is gone goes to the
+  // connection with the most advanced activity.
   enum class CallerActivity { none, tested, requested, served };
   struct Connection {
     std::shared_ptr<Stream> stream{};
@@ -59,7 +64,9 @@
     std::optional<Time> partial_since{};  // since when a message has been incomplete
     OpenSetUpLimit set_up_limit{};
     UnknownReleasePace unknown_releases{};
+    EndNumber last_copied_end = 0;  // of the undelivered ends: it has been sent all up to this one
 
+    bool is_caller() const { return activity >= CallerActivity::requested; }
     bool idle() const { return open.empty() && stream->unsent().empty() && !stream->input_paused(); }
   };
   using Connections = std::map<const Stream*, Connection>;
@@ -89,7 +96,16 @@
   void sweep();
   void log_held_connections();
   Connection* most_trusted();
-  void send_undelivered_releases();
+  // The connection turns out to be a caller's: it is told the ends that have waited for one.
+  void mark_as_caller(Connection& connection);
+  void send_end(Connection& to, CallId call, int cause);
+  // Each returns false if the connection takes no more for now.
+  bool deliver_undelivered_ends(Connection& to);
+  bool copy_undelivered_ends(Connection& to, EndNumber up_to);
+  // Up to which end a connection that is not known to be a caller's is to get copies now.
+  EndNumber due_copies(const Connection& to) const;
+  void offer_undelivered_ends();
+  void drop_expired_ends();
 
   Loop& loop_;
   Logger& log_;
@@ -104,7 +120,9 @@
   Connections connections_;
   // Open set-ups and established calls, with the connection they came on.
   std::unordered_map<CallId, const Stream*> calls_;
-  std::deque<Segment> undelivered_releases_;  // releases waiting for a caller that has sent a set-up
+  UndeliveredEnds undelivered_ends_;
+  std::optional<Loop::TimerId> ends_timer_{};  // goes on with ends that a connection did not take at once
+  bool no_more_callers_ = false;               // stop_waiting_for_callers() was called
 };
 
 }  // namespace quartzarch
--- a/src/serve.cpp
+++ b/src/serve.cpp
@@ -201,6 +201,7 @@
   void stop_listening() { binary_.stop_listening(); }
   void follow_drain(const Drain& drain) { binary_.follow_drain(drain); }
   bool idle() const { return binary_.idle(); }
+  void stop_waiting_for_callers() { binary_.stop_waiting_for_callers(); }
   void end_connections() { binary_.end_connections(); }
   bool no_connections() const { return binary_.no_connections(); }
   // Ends the calls of the SIP front, whose dialogs do not outlive the process; calls of the platform's
@@ -232,6 +233,7 @@
   const Time stop = *service.stop_requested_at();
   drain.stop(stop, *service.schedule());
   if (loop.now() - stop >= kListenAfterStop) fronts.stop_listening();
+  if (loop.now() - stop >= service.schedule()->last_arrivals()) fronts.stop_waiting_for_callers();
 }
 
 // A process with its own fronts and its own planner.
