Link: ends without a known forwarder are told to all, also to those that connect later

What callers saw: after a restart of both levels the ends of calls from before went to the forwarder that connected first. A gateway at another forwarder was never told.

Change: such ends are kept in UndeliveredEnds for 30 s, 10,000 at most, and each forwarder is told all of them once. A forwarder that has ended the call ignores it.

--- a/src/link/link_server.cpp
+++ b/src/link/link_server.cpp
@@ -7,13 +7,19 @@
 namespace {
 
 constexpr std::size_t kMaxForwarders = 64;
-constexpr std::size_t kMaxUndeliveredEnds = 10000;
 // Several within the time after which a forwarder takes its planner for silent (src/link/planners.cpp).
 constexpr Duration kHeartbeatInterval = std::chrono::milliseconds(250);
 // A forwarder that has lost its link is back within this time, if it runs. With a heartbeat it is less than
 // the 1 s within which a caller must learn of an end.
 constexpr Duration kForwarderReturnTime = std::chrono::milliseconds(600);
 
+// Marks the segments of ends that are kept for other forwarders, whatever becomes of the link.
+constexpr std::uint64_t kKeptEndTag = 1;
+
+Segment end_message(CallId call, int cause) {
+  return encode(MessageType::call_ended, call, {std::to_string(cause)});
+}
+
 // The cause in a call_ended message.
 int end_cause(const Segment& segment) {
   LinkMessage message;
@@ -63,6 +69,8 @@
 void LinkServer::send_heartbeats() {
   send_readiness();
   send_held_ends();
+  ends_without_owner_.drop_expired(loop_.now());
+  for (auto& [stream, forwarder] : forwarders_) tell_ends_without_owner(forwarder);
   heartbeat_timer_ = loop_.at(loop_.now() + kHeartbeatInterval, [this] { send_heartbeats(); });
 }
 
@@ -74,9 +82,10 @@
   Stream& link = *stream;
   link.read_ahead();
   announce_readiness();  // all connected forwarders then know the current state
-  forwarders_[&link].stream = std::move(stream);
+  Forwarder& forwarder = forwarders_[&link];
+  forwarder.stream = std::move(stream);
   link.send(readiness_message());
-  for (Segment& segment : std::exchange(undelivered_ends_, {})) link.send(std::move(segment));
+  tell_ends_without_owner(forwarder);
 }
 
 void LinkServer::on_data(Stream& stream) {
@@ -161,7 +170,7 @@
     if (message.type == MessageType::answer) {
       calls_.erase(message.call);
       core_.release(message.call, cause::kTemporary);
-    } else if (message.type == MessageType::call_ended) {
+    } else if (message.type == MessageType::call_ended && segment.tag != kKeptEndTag) {
       hold_end(message.call, end_cause(segment), loop_.now());
     }
   }
@@ -180,7 +189,7 @@
     if (end.due > loop_.now()) {
       held_ends_.push_back(end);
     } else if (calls_.erase(end.call) > 0) {  // else released meanwhile
-      send_end_to_all(encode(MessageType::call_ended, end.call, {std::to_string(end.cause)}));
+      tell_all(end.call, end.cause);
     }
   }
 }
@@ -213,21 +222,30 @@
   send_result(call, encode(MessageType::fail, call, {why == Failure::timed_out ? "1" : "0"}), false);
 }
 
-// Goes to the call's forwarder or, if that is not connected, to all, since the caller may be at any of them.
 void LinkServer::call_ended(CallId call, int cause) {
-  Segment segment = encode(MessageType::call_ended, call, {std::to_string(cause)});
-  if (forwarder_of(call)) return send_result(call, std::move(segment), false);
+  if (forwarder_of(call)) return send_result(call, end_message(call, cause), false);
   const auto found = calls_.find(call);
   if (found != calls_.end() && loop_.now() - found->second.lost_at < kForwarderReturnTime)
     return hold_end(call, cause, found->second.lost_at);
   calls_.erase(call);
-  send_end_to_all(std::move(segment));
+  tell_all(call, cause);
 }
 
-void LinkServer::send_end_to_all(Segment segment) {
-  for (auto& [stream, forwarder] : forwarders_) forwarder.stream->send(segment);
-  if (forwarders_.empty() && undelivered_ends_.size() < kMaxUndeliveredEnds)
-    undelivered_ends_.push_back(std::move(segment));
+void LinkServer::tell_all(CallId call, int cause) {
+  if (!ends_without_owner_.add(call, cause, loop_.now()))
+    log_.line("link: too many ends of calls without a forwarder, one is not told");
+  for (auto& [stream, forwarder] : forwarders_) tell_ends_without_owner(forwarder);
+}
+
+// What the link does not take at once is sent with a later heartbeat.
+void LinkServer::tell_ends_without_owner(Forwarder& to) {
+  for (const UndeliveredEnd* end = ends_without_owner_.after(to.last_told_end);
+       end && to.stream->accepts_input(); end = ends_without_owner_.after(to.last_told_end)) {
+    Segment segment = end_message(end->call, end->cause);
+    segment.tag = kKeptEndTag;
+    to.stream->send(std::move(segment));
+    to.last_told_end = end->number;
+  }
 }
 
 }  // namespace quartzarch::link
--- a/src/link/link_server.hpp
+++ b/src/link/link_server.hpp
@@ -10,6 +10,7 @@
 
 #include "core/calls.hpp"
 #include "core/peer_limits.hpp"
+#include "core/undelivered_ends.hpp"
 #include "link/message.hpp"
 #include "log.hpp"
 
@@ -41,6 +42,7 @@
     std::shared_ptr<Stream> stream{};
     std::set<CallId> unanswered{};
     UnknownReleasePace unknown_releases{kLinkReleaseFactor};
+    EndNumber last_told_end = 0;  // of the ends without an owner: it has been sent all up to this one
   };
 
   // The link that a call came by; null: it is lost, since `lost_at`. A later link may have the same address
@@ -79,8 +81,10 @@
   void send_heartbeats();
   void hold_end(CallId call, int cause, Time lost_at);
   void send_held_ends();
-  // Sends the end of a call whose forwarder is not connected to all that are, or to the next one.
-  void send_end_to_all(Segment segment);
+  // Tells the end of a call whose forwarder is not known to all forwarders, also to those that connect later:
+  // the caller may be at any of them.
+  void tell_all(CallId call, int cause);
+  void tell_ends_without_owner(Forwarder& to);
 
   Loop& loop_;
   Logger& log_;
@@ -89,8 +93,7 @@
   std::map<const Stream*, Forwarder> forwarders_;
   std::unordered_map<CallId, CallOwner> calls_;
   std::deque<HeldEnd> held_ends_;  // in the order in which they came
-  // The call_ended messages for the next forwarder that connects.
-  std::deque<Segment> undelivered_ends_;
+  UndeliveredEnds ends_without_owner_;
   bool announced_ready_ = false;
   bool stopping_ = false;
   Loop::TimerId heartbeat_timer_ = 0;
--- a/tests/link_test.cpp
+++ b/tests/link_test.cpp
@@ -119,6 +119,25 @@
   EXPECT_EQ(count(other.received() + back.received(), end_of(0xaa)), 0u);
 }
 
+// Guards against: after a restart of both levels the ends go to the forwarder that connects first, and
+// callers that are at another one are never told.
+TEST_F(ForwarderAndPlanner, AnEndFromBeforeTheStartIsToldToForwardersThatConnectLaterToo) {
+  const FrozenClock held;
+  const std::string end = link::encode(link::MessageType::call_ended, 0xaa, {"16"}).head;
+  server.send(line("end", "00000000000000aa", "\"why\":16"));
+  run_passes();
+  Peer second = Peer::connect(link_server->address());
+  wait_to_receive(second, end);
+  pass_time(std::chrono::seconds(5), milliseconds(250));
+  Peer third = Peer::connect(link_server->address());
+  wait_to_receive(third, end);
+  pass_time(std::chrono::seconds(30), milliseconds(250));
+  EXPECT_EQ(count(second.received() + third.received(), end), 2u);
+  Peer late = Peer::connect(link_server->address());
+  run_passes();
+  EXPECT_EQ(count(late.received(), end), 0u);
+}
+
 TEST_F(ForwarderAndPlanner, AStoppingPlannerGetsNoNewCallsAndAnswersPendingOnes) {
   Peer gateway = connect_caller();
   gateway.send(setup(0xbb, "d"));
