SIP: answers that a peer does not read hold up nobody, nor what it leaves unread at its end

What callers saw: a client sends OPTIONS, BYE or CANCEL over TCP at full speed, reads a part of the answers and ends: the loop stood still for 0.6 to 2.5 s while it went on and at its end, calls of others came late.

Cause: Transport::queue compared every remembered message with every unsent one for each further message; at the end of the connection each unread answer was queued again on a connection to the Via's address, with the same comparisons, and all that was left unread was handled in the same pass.

Change: messages are written in the order of their tags, so the written ones are dropped without comparing; a SIP stream gives out what its peer left 64 KiB a pass (Stream::slice_rest); answers are sent again only as far as the new connection may hold output.

--- a/src/front/binary.cpp
+++ b/src/front/binary.cpp
@@ -48,7 +48,7 @@
 constexpr Duration kSweepInterval = std::chrono::milliseconds(250);
 // Both the load balancer's tests and callers' set-ups come as soon as their connection is up: a connection
 // that says nothing for longer may belong to a caller that only listens.
-constexpr Duration kListeningAfter = std::chrono::seconds(1);
+constexpr Duration kListeningAfter = std::chrono::milliseconds(250);
 // Between two batches of ends of calls for a connection that takes no more at once.
 constexpr Duration kEndBatchInterval = std::chrono::milliseconds(10);
 // Largest value of a routing hint that is accepted.
--- a/src/front/sip/transport.cpp
+++ b/src/front/sip/transport.cpp
@@ -21,8 +21,6 @@
 constexpr std::size_t kMaxCountedPeers = 4096;
 // Asked for as the UDP socket's receive buffer; the system may grant less.
 constexpr int kUdpReceiveBufferBytes = 4 * 1024 * 1024;
-// From this number on, messages that have been written in full are removed from Connection::unconfirmed.
-constexpr std::size_t kUnconfirmedPruneSize = 64;
 // A connection is closed if the rest of a message, or the first message of an accepted connection, takes
 // longer.
 constexpr Duration kStallTimeout = std::chrono::seconds(3);
@@ -195,6 +193,7 @@
   connection.peer = peer;
   connection.kind = kind;
   connection.opened_at = loop_.now();
+  connection.stream->slice_rest();
   return connection;
 }
 
@@ -242,14 +241,19 @@
   return &opened;
 }
 
+// Removes messages that have been written in full. They are written in the order of their tags; segments
+// without a tag carry no message.
+void Transport::forget_written(Connection& connection) {
+  const auto& unsent = connection.stream->unsent();
+  const auto first =
+      std::find_if(unsent.begin(), unsent.end(), [](const Segment& segment) { return segment.tag != 0; });
+  auto& unconfirmed = connection.unconfirmed;
+  const auto kept = first == unsent.end() ? unconfirmed.end() : unconfirmed.lower_bound(first->tag);
+  unconfirmed.erase(unconfirmed.begin(), kept);
+}
+
 void Transport::queue(Connection& connection, UnconfirmedMessage message) {
-  if (connection.unconfirmed.size() >= kUnconfirmedPruneSize) {
-    const auto& unsent = connection.stream->unsent();
-    std::erase_if(connection.unconfirmed, [&](const auto& item) {
-      return std::none_of(unsent.begin(), unsent.end(),
-                          [&](const Segment& s) { return s.tag == item.first; });
-    });
-  }
+  forget_written(connection);
   const std::uint64_t tag = ++last_tag_;
   if (!connection.tls) {
     connection.stream->send({message.head, message.body, tag});
@@ -338,12 +342,13 @@
     return;  // the transactions' timers resend or give up the messages
   }
   // Messages that were not written in full are sent again from their start to their fallback address, unless
-  // that is the remote address of the lost connection.
+  // that is the remote address of the lost connection, and as far as the connection there may hold output.
   for (const Segment& segment : stream.unsent()) {
     const auto message = lost.unconfirmed.find(segment.tag);
     if (message == lost.unconfirmed.end() || same_address(message->second.fallback_address, lost.peer))
       continue;
-    send({lost.kind, message->second.fallback_address, 0}, message->second.head, message->second.body);
+    Connection* const to = connection_to({lost.kind, message->second.fallback_address, 0});
+    if (to && to->stream->accepts_input()) queue(*to, message->second);
   }
 }
 
--- a/src/front/sip/transport.hpp
+++ b/src/front/sip/transport.hpp
@@ -121,6 +121,7 @@
   Connection& add(std::shared_ptr<Stream> stream, const sockaddr_in& peer, TransportKind kind);
   Connection* connection_to(const Hop& to);
   void queue(Connection& connection, UnconfirmedMessage message);
+  void forget_written(Connection& connection);
   bool decrypt(Connection& connection);
   // Handles all complete messages at the start of `bytes`; returns their length, nothing if one is malformed.
   std::optional<std::size_t> consume_messages(std::uint64_t connection, std::string_view bytes);
--- a/src/net/stream.cpp
+++ b/src/net/stream.cpp
@@ -204,6 +204,7 @@
 }
 
 void Stream::read() {
+  if (rest_scheduled_) return;
   const std::size_t had = pending_input();
   std::optional<DisconnectReason> end =
       receive(may_read_ahead() ? kMaxBytesReadAheadPerPass : kMaxBytesPerPass);
@@ -216,6 +217,10 @@
     if (input_is_new_) deliver();
     return;
   }
+  if (slices_rest_) {
+    rest_end_ = end;
+    return deliver_rest();
+  }
   // All that the peer has sent is in the socket.
   while (state_ == State::up && pending_input() > 0) {
     deliver_all();
@@ -287,6 +292,25 @@
   }
 }
 
+// All that the peer has sent is in the socket.
+void Stream::deliver_rest() {
+  const std::size_t had = pending_input();
+  offer_input(kMaxBytesPerPass);
+  if (state_ != State::up) return;
+  const bool consumed = pending_input() < had;
+  if (!rest_end_) rest_end_ = receive(kMaxBytesPerPass);
+  if (!consumed && !input_is_new_) {
+    if (rest_end_) fail(*rest_end_);
+    return;
+  }
+  rest_scheduled_ = true;
+  loop_.in_next_pass([this, alive_token = std::weak_ptr(alive_token_)] {
+    if (alive_token.expired()) return;
+    rest_scheduled_ = false;
+    if (state_ == State::up) deliver_rest();
+  });
+}
+
 // If a message is longer than what is offered, more is.
 void Stream::offer_input(std::size_t count) {
   for (;; count += kMaxBytesPerPass) {
--- a/src/net/stream.hpp
+++ b/src/net/stream.hpp
@@ -56,6 +56,10 @@
   // turns out to have ended the connection, the owner gets that input with peer_ended() set.
   void read_ahead() { reads_ahead_ = true; }
 
+  // Lets the owner get what the peer has left when it ended the connection over several passes, each a pass's
+  // worth, and hear of the end after that. Else it gets all of it at once.
+  void slice_rest() { slices_rest_ = true; }
+
   // Input for the owner, in on_data(); more of it may follow in later passes.
   std::string_view input() const { return std::string_view(input_).substr(consumed_, offered_); }
   void consume(std::size_t count) {
@@ -114,6 +118,7 @@
   // Gives the owner a pass's worth of input, or all of it.
   void deliver();
   void deliver_all();
+  void deliver_rest();
   void offer_input(std::size_t count);
   void deliver_in_next_pass();
   void release_consumed();
@@ -137,6 +142,9 @@
   bool read_much_ = false;         // the last read brought more than is handled in a pass
   bool waits_for_output_ = false;  // input is left until the peer takes output
   bool peer_ended_ = false;
+  bool slices_rest_ = false;
+  bool rest_scheduled_ = false;                 // deliver_rest() goes on in the next pass
+  std::optional<DisconnectReason> rest_end_{};  // why the connection has ended, reported behind the rest
   bool delivery_scheduled_ = false;
   std::optional<Loop::TimerId> pause_timer_{};
   std::deque<Segment> output_;
--- a/tests/abusive_peer_test.cpp
+++ b/tests/abusive_peer_test.cpp
@@ -160,5 +160,37 @@
   EXPECT_LE(stream.unsent().size(), 101u);
 }
 
+// An owner that consumes what it is offered.
+struct CountingOwner : Stream::Owner {
+  void on_data(Stream& stream) override {
+    most_at_once = std::max(most_at_once, stream.input().size());
+    consumed += stream.input().size();
+    stream.consume(stream.input().size());
+  }
+  void on_disconnected(Stream&, DisconnectReason) override { ended_after = consumed; }
+
+  std::size_t most_at_once = 0, consumed = 0;
+  std::optional<std::size_t> ended_after{};
+};
+
+// Guards against: all that a peer has left unread is handled in one pass, before anybody else is answered.
+TEST_F(AbusivePeer, WhatIsLeftUnreadIsHandledOverSeveralPasses) {
+  constexpr std::size_t kLeft = 200 * 1024, kMostInAPass = 64 * 1024;
+  Fd listening = listen_on(any_port());
+  const int buffer = 4 * 1024 * 1024;
+  ::setsockopt(listening.get(), SOL_SOCKET, SO_RCVBUF, &buffer, sizeof buffer);
+  Peer peer = Peer::connect(bound_address(listening));
+  CountingOwner owner;
+  Stream stream(loop, Fd(::accept(listening.get(), nullptr, nullptr)), owner, Priority::callers);
+  stream.slice_rest();
+  peer.send(std::string(kLeft, 'x'));
+  peer.close();
+  run_passes(1);
+  EXPECT_LE(owner.consumed, kMostInAPass);
+  wait_until([&] { return owner.ended_after.has_value(); }, "the end");
+  EXPECT_EQ(owner.ended_after, kLeft);
+  EXPECT_LE(owner.most_at_once, kMostInAPass);
+}
+
 }  // namespace
 }  // namespace quartzarch::test
--- a/tests/sip_test.cpp
+++ b/tests/sip_test.cpp
@@ -356,6 +356,48 @@
   EXPECT_EQ(count(reconnected.received(), "SIP/2.0 500"), 1u);
 }
 
+// The processor time that this thread has used, of which other processes take nothing.
+Duration processor_time() {
+  timespec time{};
+  ::clock_gettime(CLOCK_THREAD_CPUTIME_ID, &time);
+  return std::chrono::duration_cast<Duration>(std::chrono::seconds(time.tv_sec) +
+                                              std::chrono::nanoseconds(time.tv_nsec));
+}
+
+// Guards against: the loop stands still when a peer has not read its answers, and again when it ends, since
+// each answer is compared with all others, once more for those that are sent again to the Via's address.
+TEST_F(Sip, AnswersThatAPeerDoesNotReadHoldUpNobody) {
+  Listener via_listener;
+  Peer peer = gateway(TransportKind::tcp);
+  const int buffer = 4096;
+  ::setsockopt(peer.descriptor(), SOL_SOCKET, SO_RCVBUF, &buffer, sizeof buffer);
+  Duration longest_pass{};
+  const auto pass = [&] {
+    const Duration before = processor_time();
+    loop.pass(milliseconds(1));
+    longest_pass = std::max(longest_pass, processor_time() - before);
+  };
+  std::string left;
+  for (int number = 10000, refused = 0; refused < 100;) {  // until the peer is not read any more
+    if (left.empty()) {
+      left = request(peer, TransportKind::tcp, "OPTIONS", 1, "o" + std::to_string(++number));
+      left.replace(left.find(peer.address()), peer.address().size(), address_text(via_listener.address()));
+    }
+    const ssize_t sent = ::send(peer.descriptor(), left.data(), left.size(), MSG_NOSIGNAL | MSG_DONTWAIT);
+    if (sent > 0) left.erase(0, static_cast<std::size_t>(sent));
+    refused = sent > 0 ? 0 : refused + 1;
+    if (sent < 0) pass();
+  }
+  peer.reset();
+  Peer again;
+  for (int i = 0; i < 1000 && count(again.received(), "SIP/2.0 200") == 0; ++i) {
+    if (!again) again = via_listener.accept();
+    pass();
+  }
+  EXPECT_GE(count(again.received(), "SIP/2.0 200"), 1u);
+  EXPECT_LT(longest_pass, std::chrono::seconds(1));
+}
+
 TEST_F(Sip, AFailureIsRepeatedOverUdpUntilItsAck) {
   Peer peer = gateway(TransportKind::udp);
   peer.send(invite(peer, TransportKind::udp, "X-Call-Class: no-such\r\n"));
