Stand-in authority: a client that goes before its answer does not end the test process

Need: KNOWN-RED.txt lists FleetCertificates.TheSuccessorOfAHolderKilledDuringAnOrderCompletesTheOrder, once ended by SIGPIPE with no output. The test kills a client of the authority, which runs in the test process.

Cause: OpenSSL writes to its socket without MSG_NOSIGNAL; the second write to a client that has gone (the end of the TLS session) raises SIGPIPE, and that test's fixture does not ignore it.

Change: the threads of the authority block SIGPIPE, whichever program it is part of.

--- a/standin/authority/authority.cpp
+++ b/standin/authority/authority.cpp
@@ -5,6 +5,7 @@
 #include <sys/socket.h>
 #include <sys/time.h>
 
+#include <csignal>
 #include <ctime>
 
 #include "net/stream.hpp"
@@ -33,6 +34,15 @@
   return text;
 }
 
+// OpenSSL writes without MSG_NOSIGNAL: a client that has gone must not end the process. Threads that this one
+// starts inherit it.
+void block_sigpipe() {
+  sigset_t blocked;
+  sigemptyset(&blocked);
+  sigaddset(&blocked, SIGPIPE);
+  ::pthread_sigmask(SIG_BLOCK, &blocked, nullptr);
+}
+
 Fd connect_to(const sockaddr_in& address) {
   Fd fd(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0));
   set_socket_timeout(fd.get(), 5);
@@ -99,6 +109,7 @@
 }
 
 void Authority::run(const std::stop_token& stop) {
+  block_sigpipe();
   while (!stop.stop_requested()) {
     pollfd waiting{listener_.get(), POLLIN, 0};
     if (::poll(&waiting, 1, kStopPollMs) <= 0) continue;
--- a/tests/acme_test.cpp
+++ b/tests/acme_test.cpp
@@ -844,6 +844,34 @@
   return renewer.statuses()[0].validity ? 0 : 1;
 }
 
+// Guards against: a client that is killed while the stand-in authority answers it ends the test process. The
+// authority asks for the time before it answers, and waits there until the client has gone.
+TEST(StandinAuthority, AClientThatGoesBeforeItsAnswerEndsNothing) {
+  std::signal(SIGPIPE, SIG_DFL);
+  std::atomic<bool> held = false;
+  Authority::Config setup;
+  setup.listen = any_port();
+  setup.now = [&held] {
+    while (held) std::this_thread::yield();
+    return std::chrono::floor<Seconds>(std::chrono::system_clock::now());
+  };
+  std::optional<Authority> authority(std::in_place, std::move(setup));
+  const std::string url = authority->directory();
+  Peer client = Peer::connect(*parse_address(url.substr(8, url.find('/', 8) - 8)));
+  const std::unique_ptr<SSL_CTX, tls::OpenSslDeleter> context(SSL_CTX_new(TLS_client_method()));
+  SSL_CTX_set_max_proto_version(context.get(), TLS1_2_VERSION);  // no tickets are left unread
+  const std::unique_ptr<SSL, tls::OpenSslDeleter> session(SSL_new(context.get()));
+  SSL_set_fd(session.get(), client.descriptor());
+  ASSERT_EQ(SSL_connect(session.get()), 1);
+  held = true;
+  const std::string request = "GET /directory HTTP/1.1\r\n\r\n";
+  ASSERT_GT(SSL_write(session.get(), request.data(), static_cast<int>(request.size())), 0);
+  client.close();
+  held = false;
+  authority.reset();  // once it has answered
+  std::signal(SIGPIPE, SIG_IGN);
+}
+
 }  // namespace
 }  // namespace quartzarch::test
 
