Planner process: takes classes and attempts_cap at SIGHUP, as one process does

Cause: the reload of serve_as_planner set the coordinator's address and the capacity and never called Planner::reload_settings. A forwarder's stop went by the deadlines and aims of its start.

Change: the planner's reload calls it; a forwarder keeps the longest deadline and aim in force for its stop.

--- a/src/serve.cpp
+++ b/src/serve.cpp
@@ -315,6 +315,7 @@
                    [&](const Config& fresh) {
                      coordinator.set_address(fresh.coordinator);
                      planner.set_capacity(bounds_of(fresh.limits));
+                     planner.reload_settings(fresh.instance);
                    }});
 }
 
@@ -322,7 +323,9 @@
 void serve_as_forwarder(Loop& loop, Logger& log, Service& service, const Config& config,
                         const std::optional<sip::FrontConfig>& sip,
                         const std::vector<sockaddr_in>& addresses) {
-  link::Planners planners(loop, log, addresses, config.instance.longest_deadline);
+  Duration longest_deadline = config.instance.longest_deadline;
+  Duration longest_aim = longest_aim_of(config.instance.settings.classes);
+  link::Planners planners(loop, log, addresses, longest_deadline);
   Fronts fronts(loop, log, planners, config, sip);
   planners.set_unknown_call_front(fronts.fallback_front());
   log.line("%s: forwarding at %s to %zu planners", config.name.c_str(), address_text(config.listen).c_str(),
@@ -338,18 +341,16 @@
                      if (stopping) run_stop_phase(loop, service, drain, fronts);
                    },
                .answer_pending = [&] { planners.fail_pending_calls(); },
-               .schedule =
-                   [&] {
-                     return StopSchedule(config.instance.longest_deadline,
-                                         longest_aim_of(config.instance.settings.classes));
-                   },
+               .schedule = [&] { return StopSchedule(longest_deadline, longest_aim); },
                .end_connections = [&] { fronts.end_connections(); },
                .no_connections = [&] { return fronts.no_connections(); },
                .reload =
                    [&](const Config& fresh) {
                      fronts.limit(fresh.limits);
-                     planners.set_longest_deadline(
-                         std::max(config.instance.longest_deadline, fresh.instance.longest_deadline));
+                     // Calls of a class that has gone are still open.
+                     longest_deadline = std::max(longest_deadline, fresh.instance.longest_deadline);
+                     longest_aim = longest_aim_of(fresh.instance.settings.classes);
+                     planners.set_longest_deadline(longest_deadline);
                    }});
   fronts.end_sip_dialogs();
 }
--- a/tests/process_test.cpp
+++ b/tests/process_test.cpp
@@ -3,6 +3,8 @@
 
 #include <sys/resource.h>
 
+#include "link/message.hpp"
+
 namespace quartzarch::test {
 namespace {
 
@@ -85,6 +87,35 @@
   wait_to_receive(gateway, binary(9, 0xaa, {{210, "s"}}));
 }
 
+// Guards against: a planner goes on with the classes of its start after SIGHUP, and sends a call of a class
+// that may run only once a second time.
+TEST_F(Process, APlannerTakesAStricterClassAtSighup) {
+  const sockaddr_in link_address = free_address();
+  acme::replace_file(directory + "/levels.toml", "planners = [\"" + address_text(link_address) + "\"]\n");
+  const std::string before = R"("deadline":9000)";
+  std::string fresh = config();
+  start(fresh, {"--levels", directory + "/levels.toml", "--planner", "0"});
+  Peer server;
+  wait_until([&] { return static_cast<bool>(server = listener.accept()); }, "its connection");
+  wait_until([&] { return log().find("planner 0 of 1 at") != std::string::npos; }, "the start");
+  Peer forwarder = Peer::connect(link_address);
+  fresh.replace(fresh.find(before), before.size(), before + R"(,"effect":"once")");
+  acme::replace_file(directory + "/config.json", fresh);
+  ::kill(pid, SIGHUP);
+  wait_until([&] { return log().find("configuration: read again") != std::string::npos; }, "the reload");
+  Request request;
+  request.call = 0xaa;
+  request.call_class = "voice";
+  request.description = "d";
+  request.received_at = unix_time();
+  const Segment encoded = link::encode(request, unix_time());
+  forwarder.send(encoded.head + encoded.body);
+  wait_to_receive(server, "00000000000000aa");
+  server.send("{\"op\":\"end\",\"call\":\"00000000000000aa\",\"with\":{},\"why\":41}\n");
+  wait_to_receive(forwarder, link::encode(link::MessageType::fail, 0xaa, {"0"}).head);
+  EXPECT_EQ(count(server.received(), "\"offer\""), 1u);
+}
+
 // A second SIGTERM and a SIGHUP while a set-up is in flight: it is answered, and then the process exits.
 TEST_F(Process, ASecondSigtermAndAReloadDuringAStopChangeNothing) {
   Peer server, gateway;
