Forwarder: calls of a planner that is not back are told over within 8 s

Cause: Planners kept a time for the calls of links that fall silent, none for those of links that end.

Change: a link that ends is remembered; once any planner is in touch the setup servers can say ends there and the entry goes, else its calls are told over after 6.7 s, as those of a silent link are. A silent link that ends hands its time over.

--- a/src/link/planners.cpp
+++ b/src/link/planners.cpp
@@ -308,10 +308,12 @@
   const std::size_t at = index_of(stream);
   if (at == planners_.size()) {
     const auto retired = find_retired(stream);
-    if (retired != retired_links_.end()) drop_retired_link(retired);
-    return;
+    if (retired == retired_links_.end()) return;
+    if (!retired->calls_ended) lost_links_.push_back({retired->planner, retired->link, retired->heard_at});
+    return drop_retired_link(retired);
   }
   loop_.keep_until_pass_end(std::exchange(planners_[at].stream, nullptr));
+  if (stream.was_connected()) lost_links_.push_back({at, planners_[at].link, loop_.now()});
   if (planners_[at].ready) log_.line("link: planner %zu lost", at);
   lose_link(at, stream.unsent());
 }
@@ -352,8 +354,11 @@
     if (is_silent(planners_[at])) retire_link(at);
   }
   for (RetiredLink& link : retired_links_) {
-    if (!link.calls_ended && loop_.now() - link.heard_at >= kEndUnheardTimeout) end_unreachable_calls(link);
+    if (link.calls_ended || loop_.now() - link.heard_at < kEndUnheardTimeout) continue;
+    link.calls_ended = true;
+    end_unreachable_calls(link.planner, link.link, "silent");
   }
+  check_lost_links();
   check_timer_ = loop_.at(loop_.now() + kCheckInterval, [this] { check_links(); });
 }
 
@@ -370,7 +375,7 @@
   const std::deque<Segment> unsent = planner.stream->stop_sending();
   retired_links_.push_back({at, planner.link, std::exchange(planner.stream, nullptr), planner.heard_at});
   if (retired_links_.size() > kMaxRetiredLinks) {
-    end_unreachable_calls(retired_links_.front());
+    end_unreachable_calls(retired_links_.front().planner, retired_links_.front().link, "silent");
     drop_retired_link(retired_links_.begin());
   }
   lose_link(at, unsent);
@@ -387,20 +392,36 @@
   retired_links_.erase(link);
 }
 
+bool Planners::in_touch() const {
+  return std::any_of(planners_.begin(), planners_.end(), [](const Planner& planner) {
+    return planner.readiness_known && planner.stream && planner.stream->up();
+  });
+}
+
+// A planner that has ended closes its connections, so that the setup servers say the ends of its calls on
+// those of another one, or on those of its successor.
+void Planners::check_lost_links() {
+  if (in_touch()) return lost_links_.clear();
+  std::erase_if(lost_links_, [this](const LostLink& lost) {
+    if (loop_.now() - lost.lost_at < kEndUnheardTimeout) return false;
+    end_unreachable_calls(lost.planner, lost.link, "lost");
+    return true;
+  });
+}
+
 // The calls may go on at their setup servers, so they are released there once the planner can be reached.
-void Planners::end_unreachable_calls(RetiredLink& link) {
-  link.calls_ended = true;
+void Planners::end_unreachable_calls(std::size_t planner, LinkId link, const char* why) {
   std::vector<CallId> calls;
   for (const auto& [call, known] : calls_) {
-    if (!known.unanswered && known.link == link.link) calls.push_back(call);
+    if (!known.unanswered && known.link == link) calls.push_back(call);
   }
   if (calls.empty()) return;
   std::sort(calls.begin(), calls.end());
-  log_.line("link: planner %zu silent, %zu calls cut", link.planner, calls.size());
+  log_.line("link: planner %zu %s, %zu calls cut", planner, why, calls.size());
   for (const CallId call : calls) {
     Front& front = *calls_.at(call).front;
     end_call(call);
-    release_at(link.planner, call, cause::kTemporary);
+    release_at(planner, call, cause::kTemporary);
     front.call_ended(call, cause::kTemporary);
   }
 }
--- a/src/link/planners.hpp
+++ b/src/link/planners.hpp
@@ -75,6 +75,14 @@
     bool calls_ended = false;  // none is left that was established on it
   };
 
+  // A link that has ended. Until the forwarder is in touch with a planner again it cannot hear of the ends of
+  // its calls.
+  struct LostLink {
+    std::size_t planner = 0;
+    LinkId link = 0;
+    Time lost_at{};
+  };
+
   void on_connected(Stream& stream) override;
   void on_data(Stream& stream) override;
   void on_disconnected(Stream& stream, DisconnectReason how) override;
@@ -96,8 +104,12 @@
   std::list<RetiredLink>::iterator find_retired(const Stream& stream);
   // The planner's unanswered calls fail, and its link is made again.
   void lose_link(std::size_t planner, const std::deque<Segment>& unsent);
-  // The ends of these established calls cannot be received any more: tells their callers that they are over.
-  void end_unreachable_calls(RetiredLink& link);
+  // The ends of calls that were established on the link cannot be received any more: tells their callers that
+  // they are over.
+  void end_unreachable_calls(std::size_t planner, LinkId link, const char* why);
+  void check_lost_links();
+  // A planner is connected and has said so.
+  bool in_touch() const;
   // Forgets a call, but that it has ended: the planners may still tell its end.
   void end_call(CallId call);
   void fail_call(CallId call, Failure why);
@@ -119,6 +131,7 @@
   std::multimap<Time, CallId> deadlines_;  // of calls that were unanswered when they came
   std::optional<Loop::TimerId> deadline_timer_{};
   std::list<RetiredLink> retired_links_;  // oldest first
+  std::vector<LostLink> lost_links_;
   LinkId last_link_ = 0;
   Time checked_at_{};
   Loop::TimerId check_timer_ = 0;
--- a/tests/link_test.cpp
+++ b/tests/link_test.cpp
@@ -274,6 +274,36 @@
 }
 
 // A planner without anything to say is not silent: heartbeats keep its link.
+// Guards against: with the only planner gone for good, the ends of its calls are never told.
+TEST_F(ForwarderAndScriptedPlanner, CallsOfAPlannerThatIsNotBackAreToldOverInTime) {
+  establish();
+  listener.close();
+  link.reset();
+  pass_in_silence(milliseconds(6500));
+  EXPECT_EQ(gateway.received(), "");
+  pass_in_silence(milliseconds(600));
+  EXPECT_EQ(gateway.received(), binary(12, 0xaa, {{208, std::string(1, 41)}}));
+}
+
+// Guards against: calls are cut although a planner that is back will hear of their ends.
+TEST_F(ForwarderAndScriptedPlanner, CallsOfAPlannerThatIsBackInTimeStand) {
+  establish();
+  link.reset();
+  pass_in_silence(milliseconds(6000));
+  // The last link is the one in use; those before it have been given up as silent.
+  wait_until(
+      [this] {
+        if (Peer next = listener.accept()) link = std::move(next);
+        say(link::MessageType::readiness, 0, {"1"});
+        return planners->ready();
+      },
+      "the new link to be ready");
+  pass_with_heartbeats(std::chrono::seconds(3));
+  EXPECT_EQ(gateway.received(), "");
+  say(link::MessageType::call_ended, 0xaa, {"16"});
+  wait_to_receive(gateway, binary(12, 0xaa, {{208, "\x10"}}));
+}
+
 TEST_F(ForwarderAndPlanner, AQuietPlannerStaysReady) {
   const FrozenClock held;
   Peer gateway = gateway_with_established_call();
