Ends that wait: one that finds no room is a line of its call, and no line tells of nothing told

Read again: a setup server that makes up ends at full speed would have filled the log with a line an end.

--- a/src/front/binary.cpp
+++ b/src/front/binary.cpp
@@ -577,7 +577,8 @@
   if (to && to->is_caller()) return send_end(*to, call, cause);
   if (undelivered_ends_.empty()) log_.line("caller: no caller is known, ends of calls wait for one");
   if (!undelivered_ends_.add(call, cause, loop_.now()))
-    log_.line("caller: too many ends of calls wait for a caller, one is not told");
+    log_.call_line("call %016llx: too many ends wait for a caller, this one is not told",
+                   static_cast<unsigned long long>(call));
 }
 
 void BinaryFront::send_end(Connection& to, CallId call, int cause) {
@@ -628,7 +629,8 @@
     if (end.number > to.last_copied_end) send_end(to, end.call, end.cause);
     undelivered_ends_.remove_oldest();
   }
-  log_.line("caller: %zu ends of calls told that waited for a caller", waiting - undelivered_ends_.size());
+  const std::size_t told = waiting - undelivered_ends_.size();
+  if (told > 0) log_.line("caller: %zu ends of calls told that waited for a caller", told);
   return undelivered_ends_.empty();
 }
 
--- a/src/link/link_server.cpp
+++ b/src/link/link_server.cpp
@@ -233,7 +233,8 @@
 
 void LinkServer::tell_all(CallId call, int cause) {
   if (!ends_without_owner_.add(call, cause, loop_.now()))
-    log_.line("link: too many ends of calls without a forwarder, one is not told");
+    log_.call_line("call %016llx: too many ends without a forwarder, this one is not told",
+                   static_cast<unsigned long long>(call));
   for (auto& [stream, forwarder] : forwarders_) tell_ends_without_owner(forwarder);
 }
 
